Reload on SIGHUP in place of ending on it

Now the file is read again (a half-written one for 1.5 s), the watch moves to the discovery it names and begins there with the whole list, as versions of another discovery need not compare. The silence that ends a watch is 3 s in place of 5 s: what discovery tells counts as told after 6 s.

--- a/src/main/java/corkproxy/proxy/Discovery.java
+++ b/src/main/java/corkproxy/proxy/Discovery.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
@@ -33,18 +34,26 @@
 
 /**
  * The watch on the list of hosts. It resumes from the last version that was applied, so that a
- * break loses no change.
+ * break loses no change; at another discovery, whose versions may count otherwise, it begins with
+ * the whole list.
  */
 final class Discovery {
   private static final int CONNECT_TIMEOUT_MS = 1_000;
 
-  /** A watch says something every 2 s; one silent for longer than this (ns) is broken. */
-  private static final long SILENCE_NANOS = 5_000_000_000L;
+  /**
+   * A watch says something every 2 s; one silent for longer than this (ns) is broken. Guards
+   * against half-open watches: what they would have told counts as told after 6 s, and a new one
+   * has to be open and heard by then. It does harm where discovery itself is slow by a second.
+   */
+  private static final long SILENCE_NANOS = 3_000_000_000L;
+
+  /** What has been asked for at an address that has not told its versions yet. */
+  private static final long NO_VERSION = -1;
 
   /** First wait (ms) before a broken watch is opened anew, doubled up to the last. */
   private static final long BACKOFF_MS = 50;
 
-  private static final long BACKOFF_MAX_MS = 1_000;
+  private static final long BACKOFF_MAX_MS = 500;
 
   /** A longer line is no list of hosts. */
   private static final int MAX_LINE = 4 << 20;
@@ -53,13 +62,13 @@
 
   private final Dispatcher dispatcher;
   private final Log log;
-  private final InetSocketAddress address;
   private final boolean asked;
   private final Bootstrap bootstrap;
-  private long version;
+  private InetSocketAddress address;
+  private long version = NO_VERSION;
+  private Future<?> reopening;
   private long backoff = BACKOFF_MS;
   private Watch watch;
-  private long opened;
 
   Discovery(EventLoopGroup loop, Config config, Dispatcher dispatcher, Log log) {
     this.dispatcher = dispatcher;
@@ -93,8 +102,22 @@
     }
   }
 
+  /** Moves the watch to another address; the hosts stay as they are until it has told its own. */
+  void moveTo(InetSocketAddress to) {
+    if (!to.equals(address)) {
+      address = to;
+      version = NO_VERSION;
+      backoff = BACKOFF_MS;
+      open();
+    }
+  }
+
   /** Opens the watch, in place of one that is open. */
   private void open() {
+    if (reopening != null) {
+      reopening.cancel(false);
+      reopening = null;
+    }
     if (watch != null) {
       Watch old = watch;
       watch = null;
@@ -127,7 +150,7 @@
     }
     long wait = backoff / 2 + (long) (Math.random() * backoff);
     backoff = Math.min(2 * backoff, BACKOFF_MAX_MS);
-    dispatcher.loop().schedule(this::open, wait, TimeUnit.MILLISECONDS);
+    reopening = dispatcher.loop().schedule(this::open, wait, TimeUnit.MILLISECONDS);
   }
 
   private final class Watch extends ChannelInboundHandlerAdapter {
@@ -136,6 +159,7 @@
     private int size;
     private long heardAt = System.nanoTime();
     private boolean good;
+    private boolean following;
 
     Watch(Channel channel) {
       this.channel = channel;
@@ -147,11 +171,17 @@
         return;
       }
       channel.pipeline().addLast(new HttpResponseDecoder(), new HttpRequestEncoder(), this);
+      ask();
+    }
+
+    /** Asks for the whole list first where no version is known to go on from. */
+    private void ask() {
+      following = version != NO_VERSION;
       DefaultFullHttpRequest r =
           new DefaultFullHttpRequest(
               HttpVersion.HTTP_1_1,
               HttpMethod.GET,
-              "/catalog/members?follow=1&since=" + version,
+              "/catalog/members" + (following ? "?follow=1&since=" + version : ""),
               Unpooled.EMPTY_BUFFER);
       r.headers()
           .set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
@@ -188,11 +218,27 @@
       } else if (part instanceof HttpContent content) {
         lines(content.content());
         if (part instanceof LastHttpContent && watch == this) {
-          broken("ended");
+          ended();
         }
       }
     }
 
+    private void ended() {
+      if (!following && size > 0) {
+        int length = size;
+        size = 0;
+        line(length);
+      }
+      if (watch != this) {
+        return;
+      }
+      if (following || version == NO_VERSION) {
+        broken("ended");
+      } else {
+        ask();
+      }
+    }
+
     private void lines(ByteBuf bytes) {
       while (bytes.isReadable() && watch == this) {
         int end = bytes.bytesBefore((byte) '\n');
@@ -239,6 +285,10 @@
     }
 
     private void apply(Hosts.News news) {
+      if (version == NO_VERSION && !news.full()) {
+        broken("changes came ahead of the list");
+        return;
+      }
       if (news.version() < version) {
         log.line("watch: version " + news.version() + " is older than " + version + ", left out");
         return;
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -4,6 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
@@ -28,6 +29,11 @@
 
   private static final long POLL_MS = 10;
 
+  /** A configuration that can't be read may be half written: it is read so often, so far apart. */
+  private static final int RELOAD_TRIES = 10;
+
+  private static final long RELOAD_RETRY_MS = 150;
+
   private final Config config;
   private final MultiThreadIoEventLoopGroup group;
   private final EventLoop loop;
@@ -36,6 +42,7 @@
   private final Discovery discovery;
   private final CountDownLatch ended = new CountDownLatch(1);
   private final Log log;
+  private Future<?> reload;
   private long drainUntil;
   private long acceptUntil;
 
@@ -62,7 +69,12 @@
    * @throws ConfigException if there is no configuration to run with
    */
   public static void run(Map<String, String> env) throws ConfigException {
-    Proxy p = new Proxy(Config.load(env), new Log(System.err));
+    Log log = new Log(System.err);
+    Proxy p = new Proxy(Config.load(env), log);
+    String file = env.get("BALANCER_CONFIG");
+    if (!Signals.onHangup(() -> p.reload(file))) {
+      log.line("SIGHUP can't be handled here: a new configuration needs a restart");
+    }
     p.start();
     // An exit by SIGTERM is status 143 to the JVM, and a drain that is done is a success.
     Runtime.getRuntime()
@@ -107,6 +119,39 @@
     }
   }
 
+  /**
+   * Takes up a new configuration: the watch moves to the discovery it names, all else takes a
+   * restart. Guards against a file that is bad or still being written: it is read again for a
+   * while, and what runs goes on as it was if it never becomes good.
+   */
+  void reload(String file) {
+    loop.execute(
+        () -> {
+          if (reload != null) {
+            reload.cancel(false);
+          }
+          tryReload(file, RELOAD_TRIES);
+        });
+  }
+
+  private void tryReload(String file, int tries) {
+    reload = null;
+    try {
+      // Only the file is new; the environment is that of the start.
+      InetSocketAddress to = Config.load(Map.of("BALANCER_CONFIG", file)).discovery();
+      log.line("configuration read again, discovery at " + to);
+      discovery.moveTo(to);
+    } catch (ConfigException | RuntimeException e) {
+      if (tries > 1) {
+        reload =
+            loop.schedule(
+                () -> tryReload(file, tries - 1), RELOAD_RETRY_MS, TimeUnit.MILLISECONDS);
+      } else {
+        log.line("configuration kept as it was: " + e.getMessage());
+      }
+    }
+  }
+
   /** Begins the end: all that was taken is answered, then the process may go. */
   void drain() {
     loop.execute(
