--- a/src/main/java/corkproxy/balancer/Admission.java
+++ b/src/main/java/corkproxy/balancer/Admission.java
@@ -20,6 +20,7 @@
   private final SplittableRandom random;
   private final Actions actions;
   private final Settings settings;
+  private final double pace;
   private final Map<String, Share> shares = new HashMap<>();
   private double sum;
   private double servedPart = 1;
@@ -35,6 +36,7 @@
 
   Admission(Settings settings, SplittableRandom random, Actions actions) {
     this.settings = settings;
+    this.pace = settings.pace();
     for (Settings.Tenant t : settings.tenants()) {
       shares.put(t.name(), new Share(t.portion()));
     }
@@ -99,14 +101,14 @@
     double gap = now - pressureAt;
     pressure = pressure(now);
     // A proxy with few requests weighs each one more, or it would learn of a jam after its end.
-    double weight = Math.min(0.3, Math.max(Tuning.LATENCY_ALPHA, gap / Tuning.PRESSURE_MEMORY));
+    double weight = Math.min(0.3, Math.max(Tuning.LATENCY_ALPHA, gap / (Tuning.PRESSURE_MEMORY * pace)));
     pressure += weight * (Math.min(2, elapsed / aim) - pressure);
     pressureAt = now;
   }
 
   /** Recent answer time as part of the aim, 0 to 2. */
   double pressure(double now) {
-    return pressure * Math.exp(-(now - pressureAt) / Tuning.PRESSURE_FADE);
+    return pressure * Math.exp(-(now - pressureAt) / (Tuning.PRESSURE_FADE * pace));
   }
 
   /** Whether answers come so late that a further attempt would only feed the jam. */
--- a/src/main/java/corkproxy/balancer/Attempts.java
+++ b/src/main/java/corkproxy/balancer/Attempts.java
@@ -52,12 +52,7 @@
     }
 
     boolean tried(Fleet.Host h) {
-      for (int i = 0; i < attempts.size(); i++) {
-        if (attempts.get(i).host == h) {
-          return true;
-        }
-      }
-      return false;
+      return attempts.stream().anyMatch(a -> a.host == h);
     }
   }
 
@@ -179,10 +174,8 @@
 
   /** Takes one retry from the budget; without it, retries would feed an overload. */
   boolean takeRetry() {
-    if (retrySavings < 1) {
-      return false;
-    }
-    retrySavings--;
-    return true;
+    boolean enough = retrySavings >= 1;
+    retrySavings -= enough ? 1 : 0;
+    return enough;
   }
 }
--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -33,15 +33,12 @@
     this.actions = actions;
     this.random = new SplittableRandom(seed);
     this.fleet = new Fleet(settings);
-    this.health = new Health(random, actions);
+    this.health = new Health(fleet, random, actions);
     this.attempts = new Attempts(settings.limits());
     this.admission = new Admission(settings, random, actions);
     this.draw = new Draw(settings, fleet, health, attempts, admission, random);
-    // Where hosts tell their load only when asked, and asking is cheap, light proxies ask first.
-    this.asks =
-        settings.limits().probes()
-            && settings.reportsOnProbes()
-            && !settings.reportsOnAnswers()
+    this.asks = // where hosts tell their load only when asked, and asking is cheap
+        settings.reportsOnlyIfAsked()
             && Tuning.MIN_CHOICES * settings.fees().probe() <= Tuning.ASK_PRICE;
     for (Settings.RequestClass c : settings.classes()) {
       classes.put(c.name(), new Attempts.ClassState(c));
@@ -70,29 +67,28 @@
 
   /** A client's request has come. */
   public void onRequest(double now, Arrival arrival) {
-    Attempts.ClassState type = classes.computeIfAbsent(arrival.className(), n -> unknown(n, arrival));
+    Attempts.ClassState type =
+        classes.computeIfAbsent(
+            arrival.className(),
+            n -> new Attempts.ClassState(Settings.RequestClass.unknown(n, arrival.budget())));
     Attempts.Call c = new Attempts.Call(arrival.id(), type, now, arrival.budget());
     admission.arrived(now, type.rules, arrival.tenant());
     c.standing = admission.standing(arrival.tenant());
     attempts.earnRetry();
     calls.put(c.id, c);
-    if (!asks && admission.refuses(now, type.rules, c.standing)) {
+    boolean refused = !asks && admission.refuses(now, type.rules, c.standing);
+    // Guards against a jam that only memory holds up: a host known to have room gets the request.
+    Fleet.Host idle = refused ? draw.pick(c, now) : null;
+    if (!refused) {
+      dispatch(c, now);
+    } else if (idle != null && fleet.idle(idle, now)) {
+      send(c, idle, now);
+    } else {
       admission.ended(false);
       conclude(c, now);
-    } else {
-      dispatch(c, now);
     }
   }
 
-  /** A class that the settings do not name: taken for the strictest kind. */
-  private static Attempts.ClassState unknown(String name, Arrival a) {
-    double budget = Math.max(1, a.budget());
-    Settings.Semantics once = Settings.Semantics.AT_MOST_ONCE;
-    return new Attempts.ClassState(
-        new Settings.RequestClass(
-            name, budget, budget, once, Settings.Scope.ALL, 0, 1, 0, false));
-  }
-
   /** An attempt has ended. {@code over} tells that the request is over with it or before. */
   public void onOutcome(
       double now, long request, int number, Result result, double spent, boolean over, LoadReport load) {
@@ -130,19 +126,23 @@
       }
       case ERROR -> health.failed(a.host, now, true);
       case FULL -> {
-        // Guards against a jam that spreads: a full host is busy, not broken. Ejecting it would
-        // push its share onto hosts about as full; a full queue is long past the aim, so it
-        // counts as the worst pressure, which refuses early.
-        health.crowded(a.host, now);
-        admission.answered(now, 2 * type.rules.aim(), type.rules.aim());
+        // Guards against a jam that spreads: a full host is busy, not broken, and counts as the
+        // worst pressure. One that turns work away with room to spare is leaving.
+        if (fleet.idle(a.host, now)) {
+          health.failed(a.host, now, true);
+        } else {
+          health.crowded(a.host, now);
+          admission.answered(now, 2 * type.rules.aim(), type.rules.aim());
+        }
       }
       case TIMEOUT, RESET, CONNECT_FAILED -> {
         health.failed(a.host, now, false);
-        if (result == Result.TIMEOUT) {
+        // A host that has answered nothing since is broken, not busy.
+        if (result == Result.TIMEOUT && a.host.lastAnswer > a.sentAt) {
           admission.answered(now, spent, type.rules.aim());
         }
       }
-      case CANCELLED, MOOT -> {}
+      default -> {} // cancelled or moot: the host had no part in it
     }
   }
 
@@ -227,11 +227,8 @@
    */
   private boolean ask(Attempts.Call c, double now) {
     double patience = Tuning.ASK_PATIENCE * c.type.rules.aim();
-    if (c.deadline - now < 2 * patience) {
-      return false;
-    }
     List<Fleet.Host> drawn = draw.candidates(c, now);
-    if (drawn.size() < 2) {
+    if (c.deadline - now < 2 * patience || drawn.size() < 2) {
       return false;
     }
     c.asked = new ArrayList<>(drawn);
@@ -289,11 +286,7 @@
 
   private void begin(Attempts.Call c, Fleet.Host h, double now) {
     // Guards against a jam: where even the winner can't answer in time, no work is begun.
-    if (h == null
-        || (c.attempts.isEmpty()
-            && fleet.expectedAnswer(h, now) > Tuning.REFUSE_AT
-                    * c.type.rules.aim()
-                    * Math.max(Tuning.LEAST_STANDING, c.standing))) {
+    if (h == null || (c.attempts.isEmpty() && draw.late(c, h, now))) {
       conclude(c, now);
     } else {
       send(c, h, now);
--- a/src/main/java/corkproxy/balancer/Draw.java
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 
 /** The design's draw: from a pool, d candidates, the one with the fewest own requests wins. */
 final class Draw {
@@ -23,13 +24,8 @@
   private double bestWait;
   private int equals;
 
-  Draw(
-      Settings settings,
-      Fleet fleet,
-      Health health,
-      Attempts attempts,
-      Admission admission,
-      SplittableRandom random) {
+  Draw(Settings settings, Fleet fleet, Health health, Attempts attempts,
+      Admission admission, SplittableRandom random) {
     this.settings = settings;
     this.fleet = fleet;
     this.health = health;
@@ -64,20 +60,29 @@
   /** The winner of these candidates, or of the panic fallback where none can be used. */
   Fleet.Host choose(Attempts.Call c, List<Fleet.Host> candidates, double now) {
     best = null;
-    for (int i = 0; i < candidates.size(); i++) {
-      if (usable(candidates.get(i), c, now)) {
-        consider(candidates.get(i), now);
+    // Those known to be late come second: or one crowded host would refuse what another can take.
+    for (int pass = 0; pass < 2 && best == null; pass++) {
+      for (Fleet.Host h : candidates) {
+        if ((pass > 0 || !late(c, h, now)) && usable(h, c, now)) {
+          consider(h, now);
+        }
       }
     }
     if (best == null) {
       best = anyAllowed(c, now);
     }
-    if (best != null && fleet.warmth(best, now) < 1) {
-      best.coldCredit--;
+    if (best != null) {
+      best.coldCredit -= fleet.warmth(best, now) < 1 ? 1 : 0;
     }
     return best;
   }
 
+  /** Whether the host tells of a queue that can't be through in time. */
+  boolean late(Attempts.Call c, Fleet.Host h, double now) {
+    return fleet.expectedAnswer(h, now)
+        > Tuning.REFUSE_AT * c.type.rules.aim() * Math.max(Tuning.LEAST_STANDING, c.standing);
+  }
+
   /** Adds up to d of the pool's hosts to those drawn; true if one of them is due for a trial. */
   private boolean draw(Fleet.Host[] pool, Attempts.Call c, double now) {
     int seen = 0;
@@ -166,17 +171,12 @@
   private void rebuild(int wanted, double now) {
     size = wanted;
     List<Fleet.Host> all = fleet.ready();
-    Fleet.Host[] near = all.stream().filter(this::isNear).toArray(Fleet.Host[]::new);
-    Fleet.Host[] far = all.stream().filter(h -> !isNear(h)).toArray(Fleet.Host[]::new);
-    local = window(near, wanted);
-    remote = window(far, wanted);
+    Predicate<Fleet.Host> near = h -> settings.zone() == null || settings.zone().equals(h.zone);
+    local = window(all.stream().filter(near).toArray(Fleet.Host[]::new), wanted);
+    remote = window(all.stream().filter(near.negate()).toArray(Fleet.Host[]::new), wanted);
     choices = choicesFor(local.length > 0 ? local : remote, now);
   }
 
-  private boolean isNear(Fleet.Host h) {
-    return settings.zone() == null || settings.zone().equals(h.zone);
-  }
-
   /** A stable, balanced subset: proxies start evenly spread over the ring of hosts. */
   private Fleet.Host[] window(Fleet.Host[] ring, int wanted) {
     if (ring.length <= wanted) {
--- a/src/main/java/corkproxy/balancer/Fleet.java
+++ b/src/main/java/corkproxy/balancer/Fleet.java
@@ -63,6 +63,7 @@
   }
 
   private final Settings settings;
+  private final double reportFade;
   private final Map<Long, Host> byId = new HashMap<>();
   private final List<Host> ready = new ArrayList<>();
   private final Map<String, KindSpeed> kinds = new HashMap<>();
@@ -73,6 +74,7 @@
 
   Fleet(Settings settings) {
     this.settings = settings;
+    this.reportFade = Tuning.REPORT_FADE * settings.pace();
   }
 
   Host get(long id) {
@@ -98,6 +100,10 @@
     mark++;
     boolean different = false;
     for (HostEntry e : entries) {
+      if (e.condition() == HostEntry.Condition.GONE) {
+        different |= byId.containsKey(e.id()) && forget(byId.remove(e.id()));
+        continue;
+      }
       Host h = byId.computeIfAbsent(e.id(), Host::new);
       boolean sendable = e.condition() == HostEntry.Condition.READY;
       h.zone = e.zone();
@@ -112,18 +118,19 @@
       h.sendable = sendable;
     }
     if (kind != News.DELTA) {
-      for (Host h : ready) {
-        if (h.listMark != mark) {
-          h.sendable = false;
-          different = true;
-        }
-      }
+      different |= byId.values().removeIf(h -> h.listMark != mark && forget(h));
     }
     if (different) {
       rebuild();
     }
   }
 
+  /** Guards against memory that grows with churn, and an id used anew that inherits a record. */
+  private static boolean forget(Host h) {
+    h.sendable = false;
+    return true;
+  }
+
   private void restarted(Host h, double now, java.util.SplittableRandom random) {
     // A new process owes nothing to what the old one did; its credit starts at chance, so that
     // many proxies told at once do not all send at once.
@@ -139,11 +146,7 @@
 
   private void rebuild() {
     ready.clear();
-    for (Host h : byId.values()) {
-      if (h.sendable) {
-        ready.add(h);
-      }
-    }
+    byId.values().stream().filter(h -> h.sendable).forEach(ready::add);
     ready.sort((a, b) -> a.ring != b.ring ? Long.compare(a.ring, b.ring) : Long.compare(a.id, b.id));
     changed = true;
   }
@@ -184,10 +187,29 @@
   /** The time (ms) that a queue reported not long ago will take; 0 where nothing tells. */
   double expectedAnswer(Host h, double now) {
     KindSpeed k = kinds.get(h.kind);
-    if (k == null || now - h.reportAt > Tuning.REPORT_FADE || !(h.report.held() > Tuning.QUEUE_SEEN)) {
-      return 0;
-    }
-    return k.msPerHeld * (h.report.held() + h.sentSinceReport + 1);
+    // Past its fading a report tells nothing: or a host that nobody sends to would stay crowded.
+    return k == null || now - h.reportAt > reportFade || held(h, now) <= Tuning.QUEUE_SEEN
+        ? 0
+        : k.msPerHeld * (held(h, now) + 1);
+  }
+
+  /** Whether the host has room at once by all that is known, whatever answers took of late. */
+  boolean idle(Host h, double now) {
+    return anyReport && held(h, now) < Tuning.QUEUE_SEEN / 2;
+  }
+
+  /** Requests the host holds: as it told last, fading towards what hosts hold on the mean. */
+  private double held(Host h, double now) {
+    double fresh = Math.exp(-(now - h.reportAt) / reportFade);
+    return fresh > 0.01
+        ? meanHeld + fresh * (h.report.held() + h.sentSinceReport - meanHeld)
+        : meanHeld;
+  }
+
+  /** Guards against a jam that is taken for broken hosts: the few left would get all the load. */
+  boolean spares(double now) {
+    return 1 + ready.stream().filter(h -> now < h.ejectedUntil).count()
+        <= Math.max(1, Tuning.MOST_EJECTED * ready.size());
   }
 
   /** Whether the host has told its load just now. */
@@ -219,14 +241,6 @@
   /** Expected wait in units of the mean answer time; decides between equal counts only. */
   double expectedWait(Host h, double now) {
     double slow = slowness(h, now);
-    if (!anyReport) {
-      return slow;
-    }
-    double fresh = Math.exp(-(now - h.reportAt) / Tuning.REPORT_FADE);
-    double held = meanHeld;
-    if (fresh > 0.01) {
-      held += fresh * (h.report.held() + h.sentSinceReport - meanHeld);
-    }
-    return slow * (Tuning.REPORT_BASE + held);
+    return anyReport ? slow * (Tuning.REPORT_BASE + held(h, now)) : slow;
   }
 }
--- a/src/main/java/corkproxy/balancer/Health.java
+++ b/src/main/java/corkproxy/balancer/Health.java
@@ -4,10 +4,12 @@
 
 /** Outlier detection: silence, failures, ejection with growing back-off, half-open trials. */
 final class Health {
+  private final Fleet fleet;
   private final SplittableRandom random;
   private final Actions actions;
 
-  Health(SplittableRandom random, Actions actions) {
+  Health(Fleet fleet, SplittableRandom random, Actions actions) {
+    this.fleet = fleet;
     this.random = random;
     this.actions = actions;
   }
@@ -23,10 +25,7 @@
     return !silent(h, now, overdue);
   }
 
-  /**
-   * Guards against hosts that take work and answer nothing: time-outs tell of them much too late,
-   * so the time since the last answer, with work out, is held against the expected answer time.
-   */
+  /** Guards against hosts that take work and answer nothing: time-outs tell of them too late. */
   boolean silent(Fleet.Host h, double now, double overdue) {
     if (h.oldest == null) {
       return false;
@@ -45,9 +44,8 @@
     h.failuresInRow = 0;
     h.failShare -= Tuning.FAILURE_ALPHA * h.failShare;
     if (h.halfOpen) {
-      h.halfOpen = false;
       h.failShare = 0;
-      actions.log("host " + h.id + " readmitted");
+      readmit(h);
     }
   }
 
@@ -62,7 +60,8 @@
     if (now >= h.ejectedUntil
         && (h.halfOpen
             || h.failuresInRow >= Tuning.FAILURES_IN_A_ROW
-            || h.failShare >= Tuning.FAILURE_SHARE)) {
+            || h.failShare >= Tuning.FAILURE_SHARE)
+        && fleet.spares(now)) {
       eject(h, now);
     }
   }
@@ -73,11 +72,15 @@
     h.charge = charge(h, now) + Tuning.FAILURE_CHARGE;
     h.chargeAt = now;
     if (h.halfOpen) {
-      h.halfOpen = false;
-      actions.log("host " + h.id + " readmitted");
+      readmit(h);
     }
   }
 
+  private void readmit(Fleet.Host h) {
+    h.halfOpen = false;
+    actions.log("host " + h.id + " readmitted");
+  }
+
   private void eject(Fleet.Host h, double now) {
     if (now - h.lastEjection > Tuning.EJECT_FORGET) {
       h.ejections = 0;
--- a/src/main/java/corkproxy/balancer/Settings.java
+++ b/src/main/java/corkproxy/balancer/Settings.java
@@ -25,6 +25,16 @@
     balancers = Math.max(1, balancers);
   }
 
+  /** The shortest aim: the pace of the deployment, by which the module's times are measured. */
+  public double pace() {
+    return classes.stream().mapToDouble(RequestClass::aim).min().orElse(400);
+  }
+
+  /** Whether hosts tell their load only when asked, and may be asked. */
+  public boolean reportsOnlyIfAsked() {
+    return limits.probes() && reportsOnProbes && !reportsOnAnswers;
+  }
+
   /** What may be repeated. */
   public enum Semantics {
     IDEMPOTENT,
@@ -49,7 +59,14 @@
       double repeatWindow,
       double value,
       double lateWorth,
-      boolean streamed) {}
+      boolean streamed) {
+    /** A class that the settings do not name: taken for the strictest kind. */
+    static RequestClass unknown(String name, double budget) {
+      double wait = Math.max(1, budget);
+      return new RequestClass(
+          name, wait, wait, Semantics.AT_MOST_ONCE, Scope.ALL, 0, 1, 0, false);
+    }
+  }
 
   /** A tenant and its share. */
   public record Tenant(String name, double quotaPerSecond, double portion) {}
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -31,8 +31,8 @@
   /** Two expected waits closer than this part are equal, and chance decides: avoids herding. */
   static final double WAIT_TIE = 0.1;
 
-  /** Time constant (ms) at which a load report fades towards the mean of all reports. */
-  static final double REPORT_FADE = 3_000;
+  /** Time constant (in aims) at which a load report fades towards the mean of all reports. */
+  static final double REPORT_FADE = 7.5;
 
   /** Requests a host is taken to hold without queueing, when reports are weighed. */
   static final double REPORT_BASE = 4;
@@ -43,6 +43,9 @@
   /** Failures in a row that eject a host. */
   static final int FAILURES_IN_A_ROW = 3;
 
+  /** Part of the hosts that may be ejected at once: about what has been seen broken together. */
+  static final double MOST_EJECTED = 0.4;
+
   /** Share of failures (smoothed) that ejects a host. */
   static final double FAILURE_SHARE = 0.5;
 
@@ -107,11 +110,11 @@
   /** The most of a mean class that is refused: the rest finds out when the jam is over. */
   static final double REFUSE_MOST = 0.9;
 
-  /** A proxy with fewer answers than one in a tenth of this time (ms) weighs each one more. */
-  static final double PRESSURE_MEMORY = 3_000;
+  /** A proxy with fewer answers than one in a tenth of this time (in aims) weighs each one more. */
+  static final double PRESSURE_MEMORY = 7.5;
 
-  /** Time constant (ms) at which pressure fades when no answers come: queues take long to drain. */
-  static final double PRESSURE_FADE = 10_000;
+  /** Time constant (in aims) at which pressure fades when no answers come: queues drain slowly. */
+  static final double PRESSURE_FADE = 25;
 
   /** Time constant (ms) of tenants' parts of the own traffic. */
   static final double SHARE_MEMORY = 10_000;
--- a/src/main/java/corkproxy/proxy/Attempt.java
+++ b/src/main/java/corkproxy/proxy/Attempt.java
@@ -5,16 +5,15 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import java.util.concurrent.TimeUnit;
 import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 
 /** One send of a request to a host; it ends with exactly one outcome. */
 final class Attempt extends UpstreamCall {
-  /** A reply that is larger is malformed. */
-  private static final long MAX_BODY = 32L << 20;
-
   private final Exchange exchange;
   private final Dispatcher dispatcher;
   private final int number;
@@ -25,8 +24,6 @@
   private HttpResponse head;
   private Body body;
   private long length;
-  private long passed;
-  private boolean streaming;
   private boolean over;
 
   Attempt(Exchange exchange, Dispatcher dispatcher, Host host, int number, double sentAt) {
@@ -55,10 +52,6 @@
     return number;
   }
 
-  boolean streaming() {
-    return streaming;
-  }
-
   @Override
   ChannelFuture write(Channel channel) {
     return exchange.writeTo(channel);
@@ -80,14 +73,7 @@
   }
 
   void cancel() {
-    if (!streaming) {
-      finish(mayHaveRun() ? Result.CANCELLED : Result.MOOT);
-    }
-  }
-
-  /** The client of a streamed answer has gone. */
-  void clientGone() {
-    finish(Result.CANCELLED);
+    finish(mayHaveRun() ? Result.CANCELLED : Result.MOOT);
   }
 
   @Override
@@ -97,60 +83,57 @@
     if (status == 200) {
       if (!mayHaveRun()) {
         finish(Result.CONNECT_FAILED); // no host can serve what it has not been sent
-        return;
+      } else if (!framed(reply)) {
+        broken();
+      } else {
+        head = reply;
+        length = HttpUtil.getContentLength(reply, -1L);
       }
-      head = reply;
-      length = HttpUtil.getContentLength(reply, -1L);
       return;
     }
     boolean turnedAway =
         (status == 503 || status == 504) && "1".equals(reply.headers().get("X-Not-Processed"));
     connection().discardRest();
-    finish(turnedAway ? Result.FULL : mayHaveRun() ? Result.ERROR : Result.CONNECT_FAILED);
+    if (status >= 400 && status < 500) {
+      exchange.faulted(status);
+      finish(Result.CANCELLED);
+    } else {
+      finish(turnedAway ? Result.FULL : mayHaveRun() ? Result.ERROR : Result.CONNECT_FAILED);
+    }
+  }
+
+  /** Whether the end of the answer can be told from its connection's, and it is no longer than any. */
+  private static boolean framed(HttpResponse reply) {
+    HttpHeaders h = reply.headers();
+    boolean chunked = h.contains(HttpHeaderNames.TRANSFER_ENCODING);
+    boolean sized = h.contains(HttpHeaderNames.CONTENT_LENGTH);
+    return chunked != sized
+        && (!chunked || HttpUtil.isTransferEncodingChunked(reply))
+        && HttpUtil.getContentLength(reply, 0L) <= RequestCheck.MAX_BODY;
   }
 
   @Override
   void content(HttpContent part) {
     int n = part.content().readableBytes();
-    passed += n;
-    if (passed > MAX_BODY) {
-      broken();
+    if (n == 0) {
       return;
     }
-    if (!streaming && n > 0 && Math.max(length, passed) > BodyBudget.SMALL) {
-      streaming = true;
-      exchange.beginStream(this, head, length, body);
-      body = null;
-      dispatcher.firstByte(exchange, number, dispatcher.now() - sentAt);
+    if (body == null) {
+      body = dispatcher.newBody(length, false);
     }
-    if (streaming) {
-      if (!over) {
-        exchange.streamPart(part);
-      }
+    if (body.size() + n > RequestCheck.MAX_BODY) {
+      broken(); // no answer is so long: this one would never end
       return;
     }
-    if (n > 0) {
-      if (body == null) {
-        body = dispatcher.newBody(length, false);
-      }
-      body.append(part.content());
-      if (dispatcher.budget().full(body.size())) {
-        connection().channel().config().setAutoRead(false);
-        dispatcher.budget().await(resume);
-      }
-    }
-  }
-
-  @Override
-  void readComplete() {
-    // Guards against a client that reads slowly: what it does not take stays with the host.
-    if (streaming && !exchange.flushStream()) {
+    body.append(part.content());
+    if (dispatcher.budget().full(body.size())) {
       connection().channel().config().setAutoRead(false);
+      dispatcher.budget().await(resume);
     }
   }
 
-  /** The client takes more, or memory is free again. */
-  void resumeReading() {
+  /** Memory is free again. */
+  private void resumeReading() {
     if (!over && connection() != null) {
       connection().channel().config().setAutoRead(true);
     }
@@ -158,21 +141,16 @@
 
   @Override
   void end() {
-    if (streaming) {
-      exchange.endStream();
-    } else {
-      Body whole = body;
-      body = null;
-      exchange.served(head, whole);
-    }
+    Body whole = body;
+    body = null;
+    exchange.served(head, whole);
     finish(Result.OK);
   }
 
+  /** A spoilt answer: a failed attempt that may have run, and whose report is as good as it is. */
   @Override
   void broken() {
-    if (streaming) {
-      exchange.cutStream();
-    }
+    report = null;
     finish(Result.RESET);
   }
 
--- a/src/main/java/corkproxy/proxy/ClientConnection.java
+++ b/src/main/java/corkproxy/proxy/ClientConnection.java
@@ -1,22 +1,18 @@
 package corkproxy.proxy;
 
 import corkproxy.balancer.Arrival;
-import corkproxy.balancer.Settings;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -27,17 +23,23 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ByteProcessor;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.ArrayDeque;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /** A connection of the application's: reads its requests one by one and writes their answers. */
-final class ClientConnection extends ChannelInboundHandlerAdapter implements Sockets.Idle {
-  /** Tells whether part of a request has come. */
-  static final class Decoder extends HttpRequestDecoder {
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+  /** Tells since when part of a request has come, and what netty takes without a word. */
+  static final class Decoder extends HttpRequestDecoder implements ByteProcessor {
     private boolean receiving;
+    private long since;
+    private boolean inHead = true;
+    private boolean anyLine;
+    private boolean emptyLine = true;
+    private boolean folded;
+    private boolean removed;
 
     Decoder() {
       super(Upstreams.DECODER);
@@ -45,52 +47,103 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) throws Exception {
-      receiving = true;
+      if (!receiving) {
+        receiving = true;
+        since = System.nanoTime();
+      }
+      if (inHead) {
+        ((ByteBuf) msg).forEachByte(this);
+      }
       super.channelRead(ctx, msg);
     }
 
-    boolean surplus() {
+    /** Looks for obsolete folding; ends with the head. */
+    @Override
+    public boolean process(byte b) {
+      if (b == '\n') {
+        inHead = !(anyLine && emptyLine);
+        anyLine |= !emptyLine;
+        emptyLine = true;
+      } else if (b != '\r') {
+        folded |= anyLine && emptyLine && (b == ' ' || b == '\t');
+        emptyLine = false;
+      }
+      return inHead;
+    }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+      // Guards against a request in the body of another: netty would drop one of the two lengths.
+      throw new IllegalArgumentException("Content-Length with Transfer-Encoding");
+    }
+
+    /** Whether it still stands in the pipeline. */
+    boolean active() {
+      return !removed;
+    }
+
+    @Override
+    protected void handlerRemoved0(ChannelHandlerContext ctx) {
+      removed = true;
+    }
+
+    /** The request has come whole; true if more bytes have come behind it. */
+    boolean completed() {
+      receiving = false;
+      inHead = true;
+      anyLine = false;
+      emptyLine = true;
+      folded = false;
       return actualReadableBytes() > 0;
     }
   }
 
-  private static final long MAX_BODY = 32L << 20;
+  /**
+   * How long (ns) a request may take to come, from its connection's opening where it is the first.
+   * Guards against clients that say nothing, or never end what they say.
+   */
+  private static final long SLOW_NANOS = 2_100_000_000L;
+
+  /** How long (ns) a connection on which nothing is open is kept at least, and at most. */
+  private static final long IDLE_LEAST_NANOS = 2_000_000_000L;
+
+  private static final long IDLE_MOST_NANOS = 6_000_000_000L;
+
+  /** Ages (ns) from which those that have sent nothing, or not all, may have to make room. */
+  private static final long SILENT_NANOS = 50_000_000L;
 
-  /** The longest time (ms) a client may ask for; longer ones are cut to it. */
-  private static final double MAX_TIMEOUT_MS = 600_000;
+  private static final long PARTIAL_NANOS = 500_000_000L;
 
-  /** How long (ns) a head may take, and a body may stand still. */
-  private static final long SLOW_NANOS = 10_000_000_000L;
+  /** How long (ms) and how much of a rejected message is read, so that its client sees its answer. */
+  private static final long LINGER_MS = 500;
 
-  /** How long (ms) the rest of a rejected message is read, so that the client sees its answer. */
-  private static final long LINGER_MS = 1_000;
+  private static final int LINGER_BYTES = 1 << 20;
 
-  private static final String NO_CLASS = "?";
+  /** A client that takes nothing of its answer for so long (ns) has gone. */
+  private static final long STALL_NANOS = 5_000_000_000L;
 
   private final Front front;
   private final SocketChannel channel;
   private final Decoder decoder;
-  private final boolean overflow;
   private final Runnable resume = this::resumeReading;
-  private final ArrayDeque<HttpObject> ahead = new ArrayDeque<>(0);
+  private final long openedAt = System.nanoTime();
   private HttpRequest head;
+  private RequestCheck check;
   private Body body;
-  private boolean health;
-  private double timeout;
-  private String type;
+  private String openId;
   private Exchange exchange;
+  private boolean spoken;
   private boolean closing;
   private boolean rejected;
   private boolean paused;
-  private long receivingSince;
+  private int discarded;
+  private long idleSince;
   private long writingSince;
 
-  /** {@code overflow} marks a connection beyond what is allowed: its request is refused. */
-  ClientConnection(Front front, SocketChannel channel, Decoder decoder, boolean overflow) {
+  ClientConnection(Front front, SocketChannel channel, Decoder decoder) {
     this.front = front;
     this.channel = channel;
     this.decoder = decoder;
-    this.overflow = overflow;
   }
 
   @Override
@@ -104,9 +157,7 @@
     exchange = null;
     front.budget().forget(resume);
     dropRequest();
-    while (!ahead.isEmpty()) {
-      ReferenceCountUtil.release(ahead.poll());
-    }
+    releaseId();
     front.closed(this);
     if (e != null) {
       e.clientGone();
@@ -128,23 +179,32 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object msg) {
-    if (exchange != null && !rejected) {
-      // Sent ahead of its time: it waits for the answer before it, and nothing more is read.
-      ahead.add((HttpObject) msg);
-      channel.config().setAutoRead(false);
-      return;
-    }
     try {
-      take((HttpObject) msg);
+      if (rejected) {
+        discard(msg);
+      } else if (exchange != null) {
+        // Guards against floods of requests sent at once: clients send one at a time, so what
+        // comes ahead of an answer is thrown away, and the connection ends with that answer.
+        closing = true;
+        channel.config().setAutoRead(false);
+      } else {
+        take((HttpObject) msg);
+      }
     } finally {
       ReferenceCountUtil.release(msg);
     }
   }
 
-  private void take(HttpObject part) {
-    if (rejected) {
-      return;
+  private void discard(Object msg) {
+    if (msg instanceof ByteBuf bytes) {
+      discarded += bytes.readableBytes();
+      if (discarded > LINGER_BYTES) {
+        channel.close();
+      }
     }
+  }
+
+  private void take(HttpObject part) {
     if (part.decoderResult().isFailure()) {
       Throwable cause = part.decoderResult().cause();
       reject(
@@ -157,7 +217,6 @@
       begin(request);
     }
     if (part instanceof HttpContent content && !rejected) {
-      receivingSince = System.nanoTime();
       ByteBuf bytes = content.content();
       if (bytes.isReadable()) {
         append(bytes);
@@ -169,83 +228,23 @@
   }
 
   private void begin(HttpRequest request) {
-    front.sockets().clientIdle(this, false);
     head = request;
-    HttpHeaders h = request.headers();
     closing = !HttpUtil.isKeepAlive(request);
-    health = request.uri().equals("/_health");
-    HttpMethod method = request.method();
-    if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
-      reject(505);
-    } else if (method.equals(HttpMethod.CONNECT)
-        || method.equals(HttpMethod.TRACE)
-        || method.equals(HttpMethod.HEAD)) {
-      reject(405);
-    } else if (HttpUtil.getContentLength(request, 0L) > MAX_BODY) {
-      reject(413);
-    } else if (!health) {
-      String id = h.get("X-Request-ID");
-      type = type(request);
-      timeout = timeout(h.get("X-Timeout-Ms"));
-      if (id == null || id.isBlank() || Double.isNaN(timeout)) {
-        reject(400);
-      }
-    }
-    if (!rejected && HttpUtil.is100ContinueExpected(request)) {
+    check = RequestCheck.of(request, decoder.folded, front::type);
+    if (check.fault() != 0) {
+      reject(check.fault());
+    } else if (HttpUtil.is100ContinueExpected(request)) {
       channel.writeAndFlush(
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
     }
   }
 
-  /** The wait a client states, NaN if it is no number. Without one it is that of the class. */
-  private double timeout(String s) {
-    if (s == null) {
-      Settings.RequestClass c = front.type(type);
-      return c == null ? 1_000 : c.deadline();
-    }
-    try {
-      double ms = Double.parseDouble(s.trim());
-      return ms >= 0 ? Math.min(ms, MAX_TIMEOUT_MS) : Double.NaN;
-    } catch (NumberFormatException e) {
-      return Double.NaN;
-    }
-  }
-
-  /**
-   * The class as the module may know it. What the settings don't name, or what lacks the form that
-   * makes its class repeatable, is no class: the module takes it for unsafe. The module keeps a
-   * state for each class, so the names that clients make up must not reach it.
-   */
-  private String type(HttpRequest request) {
-    String name = request.headers().get("X-Priority-Class");
-    if (name == null) {
-      String path = request.uri();
-      int from = path.startsWith("/") ? 1 : 0;
-      int to = from;
-      while (to < path.length() && path.charAt(to) != '/' && path.charAt(to) != '?') {
-        to++;
-      }
-      name = path.substring(from, to);
-    }
-    Settings.RequestClass c = front.type(name);
-    if (c == null) {
-      return NO_CLASS;
-    }
-    boolean fits =
-        switch (c.semantics()) {
-          case IDEMPOTENT -> request.method().equals(HttpMethod.GET);
-          case DEDUPLICATED -> request.headers().contains("Idempotency-Key");
-          case AT_MOST_ONCE -> true;
-        };
-    return fits ? name : NO_CLASS;
-  }
-
   private void append(ByteBuf bytes) {
     if (body == null) {
       body = front.dispatcher().newBody(HttpUtil.getContentLength(head, -1L), true);
     }
-    if (body.size() + bytes.readableBytes() > MAX_BODY) {
+    if (body.size() + bytes.readableBytes() > RequestCheck.MAX_BODY) {
       reject(413);
       return;
     }
@@ -265,17 +264,18 @@
 
   private void resumeReading() {
     paused = false;
-    receivingSince = System.nanoTime();
     channel.config().setAutoRead(true);
   }
 
   private void complete() {
-    decoder.receiving = decoder.surplus();
-    receivingSince = 0;
+    if (decoder.completed()) {
+      reject(400); // a second request behind this one, whose client keeps to no order
+      return;
+    }
+    spoken = true;
     front.budget().forget(resume);
     if (paused) {
       resumeReading();
-      receivingSince = 0;
     }
     HttpRequest request = head;
     Body whole = body;
@@ -284,29 +284,34 @@
     if (whole != null) {
       whole.completed();
     }
-    if (health) {
+    if (check.health()) {
       free(whole);
       answer(front.ready() ? 200 : 503, 0);
       return;
     }
+    HttpHeaders h = request.headers();
+    String id = h.get("X-Request-ID");
+    if (!front.openId(id)) {
+      free(whole);
+      reject(409); // its answer could be taken for the other's
+      return;
+    }
+    openId = id;
     Dispatcher d = front.dispatcher();
-    if (overflow || d.open() >= front.maxOpen()) {
+    if (d.open() >= front.maxOpen()) {
       front.refusedForSockets();
       free(whole);
-      closing |= overflow;
       answer(503, 0);
       return;
     }
-    double now = d.now();
-    exchange = new Exchange(d.newId(), d, this, request, whole, now + timeout);
-    HttpHeaders h = request.headers();
+    exchange = new Exchange(d.newId(), d, this, request, whole, d.now() + check.timeout());
     d.arrived(
         exchange,
         new Arrival(
             exchange.id,
-            type,
+            check.type().name(),
             h.get("X-Tenant-Id"),
-            timeout,
+            check.timeout(),
             estimate(h.get("X-Cost")),
             "1".equals(h.get("X-Retried"))));
   }
@@ -333,6 +338,13 @@
     head = null;
   }
 
+  private void releaseId() {
+    if (openId != null) {
+      front.closeId(openId);
+      openId = null;
+    }
+  }
+
   // --- writing
 
   /** An answer of our own. */
@@ -378,82 +390,34 @@
     }
   }
 
-  void beginStream(HttpResponse reply, long length) {
-    HttpHeaders h = reply.headers();
-    Headers.dropHopByHop(h);
-    DefaultHttpResponse r =
-        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, h);
-    if (length < 0) {
-      h.remove(HttpHeaderNames.CONTENT_LENGTH);
-      HttpUtil.setTransferEncodingChunked(r, true);
-    }
-    markClose(r);
-    channel.write(r);
-  }
-
-  void streamPart(ByteBuf bytes) {
-    channel.write(new DefaultHttpContent(bytes));
-  }
-
-  boolean flushStream() {
-    channel.flush();
-    return channel.isWritable();
-  }
-
-  boolean writable() {
-    return channel.isWritable();
-  }
-
-  void endStream() {
-    answered(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
-  }
-
-  /** Ends an answer that can't be finished so that the client sees it is not whole. */
-  void cut() {
-    exchange = null;
-    channel.config().setSoLinger(0);
-    channel.close();
-  }
-
   private void answered(ChannelFuture written) {
     exchange = null;
+    releaseId();
+    idleSince = System.nanoTime();
     if (closing) {
       written.addListener(f -> linger());
-      return;
-    }
-    if (!written.isDone()) {
-      writingSince = System.nanoTime();
+    } else if (!written.isDone()) {
+      writingSince = idleSince;
       written.addListener(f -> writingSince = 0);
     }
-    if (!ahead.isEmpty()) {
-      takeAhead();
-    } else if (!decoder.receiving) {
-      front.sockets().clientIdle(this, true);
-    }
-  }
-
-  private void takeAhead() {
-    while (exchange == null && !ahead.isEmpty()) {
-      HttpObject part = ahead.poll();
-      try {
-        take(part);
-      } finally {
-        ReferenceCountUtil.release(part);
-      }
-    }
-    if (ahead.isEmpty() && !paused) {
-      channel.config().setAutoRead(true);
-    }
   }
 
   /** Answers what can't be a request and ends the connection. */
   private void reject(int status) {
-    rejected = true;
     dropRequest();
     front.budget().forget(resume);
     paused = false;
     closing = true;
+    stopDecoding();
     answer(status, 0);
+  }
+
+  /** From here on whatever comes is thrown away unread: it may be much, or no HTTP at all. */
+  private void stopDecoding() {
+    rejected = true;
+    if (decoder.active()) {
+      channel.pipeline().remove(decoder);
+    }
     channel.config().setAutoRead(true);
   }
 
@@ -462,49 +426,67 @@
    * unread would be one, so the sending ends first and what still comes is thrown away.
    */
   private void linger() {
-    rejected = true;
     if (!channel.isActive()) {
       return;
     }
+    stopDecoding();
     channel.shutdownOutput();
-    channel.config().setAutoRead(true);
     channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
   }
 
-  @Override
-  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    if (exchange != null && channel.isWritable()) {
-      exchange.streamWritable();
-    }
-  }
-
   // --- upkeep
 
-  Channel channel() {
-    return channel;
-  }
-
   /** Whether it carries a request, or part of one, or an answer that is not written yet. */
   boolean busy() {
     return exchange != null || decoder.receiving || writingSince != 0 || closing;
   }
 
-  @Override
-  public void closeIdle() {
+  /** Whether a request may be on its way that was sent before the client could know of a drain. */
+  boolean fresh() {
+    return !spoken && System.nanoTime() - openedAt < SLOW_NANOS;
+  }
+
+  void close() {
     channel.close();
   }
 
+  /**
+   * How readily it makes room for another, 0 first, or -1 if it may not. What was answered and only
+   * lingers goes first, then what has never spoken: usual clients speak as soon as they connect.
+   */
+  int dispensable(long now) {
+    if (exchange != null || writingSince != 0 || !channel.isOpen()) {
+      return -1; // in use, or closed already and only not yet taken off the list
+    }
+    if (rejected) {
+      return 0;
+    }
+    if (decoder.receiving) {
+      return now - receivingSince() > PARTIAL_NANOS ? 3 : -1;
+    }
+    if (!spoken) {
+      return now - openedAt > SILENT_NANOS ? 1 : -1;
+    }
+    return now - idleSince > IDLE_LEAST_NANOS ? 2 : -1;
+  }
+
+  private long receivingSince() {
+    return spoken ? decoder.since : openedAt;
+  }
+
   void sweep(long now) {
-    if (decoder.receiving && receivingSince == 0) {
-      receivingSince = now;
-    }
-    if (!rejected
-        && exchange == null
-        && !paused
-        && receivingSince != 0
-        && now - receivingSince > SLOW_NANOS) {
-      reject(408);
-    } else if (writingSince != 0 && now - writingSince > Exchange.CLIENT_STALL) {
+    if (rejected || exchange != null) {
+      return;
+    }
+    if (writingSince != 0) {
+      if (now - writingSince > STALL_NANOS) {
+        channel.close();
+      }
+    } else if (decoder.receiving) {
+      if (now - receivingSince() > SLOW_NANOS) {
+        reject(paused ? 503 : 408);
+      }
+    } else if (spoken ? now - idleSince > IDLE_MOST_NANOS : now - openedAt > SLOW_NANOS) {
       channel.close();
     }
   }
--- a/src/main/java/corkproxy/proxy/Dispatcher.java
+++ b/src/main/java/corkproxy/proxy/Dispatcher.java
@@ -128,10 +128,6 @@
     deliver(e, () -> balancer.onOutcome(now(), e.id, number, result, spent, over, report));
   }
 
-  void firstByte(Exchange e, int number, double spent) {
-    deliver(e, () -> balancer.onFirstByte(now(), e.id, number, spent));
-  }
-
   void clientGone(Exchange e) {
     deliver(e, () -> balancer.onClientGone(now(), e.id));
   }
@@ -174,11 +170,7 @@
   }
 
   void sweep() {
-    long now = System.nanoTime();
     upstreams.sweep(hosts.all());
-    for (Exchange e : exchanges.values().toArray(Exchange[]::new)) {
-      e.sweep(now);
-    }
     hosts.forgetGone();
   }
 
--- a/src/main/java/corkproxy/proxy/Exchange.java
+++ b/src/main/java/corkproxy/proxy/Exchange.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -26,12 +25,6 @@
  * gives exactly one; holds the deadline, the request and its attempts.
  */
 final class Exchange {
-  /** A streamed answer whose host says nothing for so long (ns) has broken. */
-  private static final long HOST_STALL = 10_000_000_000L;
-
-  /** A client that takes nothing of its answer for so long (ns) has gone. */
-  static final long CLIENT_STALL = 30_000_000_000L;
-
   final long id;
   private final Dispatcher dispatcher;
   private final ClientConnection client;
@@ -42,8 +35,6 @@
   private final List<Future<?>> timers = new ArrayList<>(2);
   private int open;
   private boolean answered;
-  private Attempt stream;
-  private long progressAt;
 
   Exchange(
       long id,
@@ -83,7 +74,6 @@
     attempts.add(a);
     open++;
     if (answered
-        || stream != null
         || !host.sendable
         || attempts.size() > dispatcher.maxAttempts()
         || giveUpAfter < 0
@@ -155,61 +145,20 @@
     }
   }
 
-  private boolean answer() {
-    if (answered || stream != null) {
-      return false;
-    }
-    answered = true;
-    return true;
-  }
-
-  // --- a long answer, passed on while it comes
-
-  void beginStream(Attempt a, HttpResponse reply, long length, Body begun) {
-    stream = a;
-    progressAt = System.nanoTime();
-    client.beginStream(reply, length);
-    if (begun != null) {
-      for (ByteBuf b : begun.retained()) {
-        client.streamPart(b);
-      }
-      begun.free();
-    }
-  }
-
-  void streamPart(HttpContent part) {
-    progressAt = System.nanoTime();
-    client.streamPart(part.content().retain());
-  }
-
-  /** Sends on what has come; false if the client has enough for now. */
-  boolean flushStream() {
-    return client.flushStream();
-  }
-
-  void streamWritable() {
-    if (stream != null) {
-      progressAt = System.nanoTime();
-      stream.resumeReading();
+  /**
+   * A host found fault with the request itself. Guards against a client's mistake that counts
+   * against the host, or is carried on to the next one: the answer is the client's.
+   */
+  void faulted(int status) {
+    if (answer()) {
+      client.answer(status, 0);
     }
   }
 
-  void endStream() {
-    answered = true;
-    client.endStream();
-  }
-
-  void cutStream() {
+  private boolean answer() {
+    boolean first = !answered;
     answered = true;
-    client.cut();
-  }
-
-  void sweep(long now) {
-    if (stream != null
-        && !answered
-        && now - progressAt > (client.writable() ? HOST_STALL : CLIENT_STALL)) {
-      stream.broken();
-    }
+    return first;
   }
 
   // --- ends
@@ -221,24 +170,19 @@
     }
     answered = true;
     dispatcher.clientGone(this);
-    if (stream != null && stream.open()) {
-      stream.clientGone();
-    }
     forgetIfDone();
   }
 
   private void timeUp() {
-    if (stream == null) {
-      for (int i = 0; i < attempts.size(); i++) {
-        if (attempts.get(i).open()) {
-          attempts.get(i).timeUp();
-        }
-      }
-      if (!answered) {
-        fail(); // the module holds it still: the client's time is up all the same
-        dispatcher.clientGone(this);
+    for (int i = 0; i < attempts.size(); i++) {
+      if (attempts.get(i).open()) {
+        attempts.get(i).timeUp();
       }
     }
+    if (!answered) {
+      fail(); // the module holds it still: the client's time is up all the same
+      dispatcher.clientGone(this);
+    }
   }
 
   private void forgetIfDone() {
--- a/src/main/java/corkproxy/proxy/Front.java
+++ b/src/main/java/corkproxy/proxy/Front.java
@@ -6,19 +6,28 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** The side that faces the application: listens, and knows all of its connections. */
 final class Front {
   private static final int BACKLOG = 1_024;
 
+  /** Connections taken in one go; more might pass the limit before it is looked at. */
+  private static final int ACCEPTS = 4;
+
+  /** How long (ms) the listener rests where nothing can make room yet. */
+  private static final long REST_MS = 20;
+
   private final Dispatcher dispatcher;
   private final Sockets sockets;
   private final BodyBudget budget;
@@ -26,6 +35,7 @@
   private final int maxOpen;
   private final Map<String, Settings.RequestClass> types = new HashMap<>();
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
+  private final Set<String> openIds = new HashSet<>();
   private Channel listener;
   private boolean draining;
   private long refusedForMemory;
@@ -50,6 +60,9 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, Upstreams.READS)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Upstreams.MARKS)
@@ -70,37 +83,79 @@
   }
 
   private void accepted(SocketChannel ch) {
-    boolean overflow = !sockets.roomForClient();
     ClientConnection.Decoder decoder = new ClientConnection.Decoder();
     sockets.clientOpened();
+    // Not with the handlers: they never hear of a connection that was reset before its turn.
+    ch.closeFuture().addListener(f -> sockets.clientClosed());
     ch.pipeline()
-        .addLast(
-            decoder, new HttpResponseEncoder(), new ClientConnection(this, ch, decoder, overflow));
-    if (sockets.exhausted()) {
-      // Guards against accepts that fail again and again: the rest waits in the backlog.
-      listener.config().setAutoRead(false);
+        .addLast(decoder, new HttpResponseEncoder(), new ClientConnection(this, ch, decoder));
+    makeRoom();
+  }
+
+  /**
+   * Sees to it that one more client can be accepted. Guards usual clients against crowds: whoever
+   * says nothing, or has been answered, makes room, and where nobody can, the rest waits in the
+   * backlog for a moment. It also catches clients that leave connections behind. It does harm where
+   * a usual client connects long before it speaks, and only in a crowd.
+   */
+  private void makeRoom() {
+    while (!sockets.roomForClient()) {
+      ClientConnection c = mostDispensable();
+      if (c == null) {
+        if (listener.config().isAutoRead()) {
+          listener.config().setAutoRead(false);
+          listener.eventLoop().schedule(this::rested, REST_MS, TimeUnit.MILLISECONDS);
+        }
+        return;
+      }
+      c.close();
+    }
+  }
+
+  private void rested() {
+    if (listener.isOpen()) {
+      listener.config().setAutoRead(true);
+      makeRoom();
     }
   }
 
+  private ClientConnection mostDispensable() {
+    long now = System.nanoTime();
+    ClientConnection found = null;
+    int least = Integer.MAX_VALUE;
+    for (ClientConnection c : connections) {
+      int d = c.dispensable(now);
+      if (d >= 0 && d < least) {
+        found = c;
+        least = d;
+      }
+    }
+    return found;
+  }
+
   void opened(ClientConnection c) {
     connections.add(c);
-    sockets.clientIdle(c, true);
   }
 
   void closed(ClientConnection c) {
     connections.remove(c);
-    sockets.clientClosed(c);
-    if (!sockets.exhausted() && listener.isOpen()) {
-      listener.config().setAutoRead(true);
-    }
+  }
+
+  /** Takes the id of a request; false if a request that is open has it. */
+  boolean openId(String id) {
+    return openIds.add(id);
+  }
+
+  void closeId(String id) {
+    openIds.remove(id);
   }
 
   /** The client proxy goes: answers tell clients to move off, and idle connections are closed. */
   void drain() {
     draining = true;
     for (ClientConnection c : new ArrayList<>(connections)) {
-      if (!c.busy()) {
-        c.closeIdle();
+      if (!c.busy() && !c.fresh()) {
+        c.close();
       }
     }
   }
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -19,7 +19,7 @@
 
   private static final long LEAST_BODIES_MB = 8;
   private static final long MOST_BODIES_MB = 80;
-  private static final long SWEEP_MS = 500;
+  private static final long SWEEP_MS = 200;
 
   /** After SIGTERM new connections come for 0.4 s at most; they are accepted for longer (ms). */
   private static final long ACCEPT_MS = 800;
--- a/src/main/java/corkproxy/proxy/Reports.java
+++ b/src/main/java/corkproxy/proxy/Reports.java
@@ -6,9 +6,12 @@
 final class Reports {
   static final String HEADER = "X-Server-Load";
 
+  /** No host holds or does more; guards against a figure that would drown all means. */
+  private static final double MOST = 1e6;
+
   private Reports() {}
 
-  /** The report in {@code text}, or null where there is none that can be read. */
+  /** The report in {@code text}, or null where there is none or it can't be read as a whole. */
   static LoadReport read(String text) {
     if (text == null) {
       return null;
@@ -22,12 +25,13 @@
       if (field >= 0) {
         try {
           double d = Double.parseDouble(pair.substring(equals + 1).trim());
-          if (Double.isFinite(d) && d >= 0) {
-            v[field] = d;
-            any = true;
+          if (!(d >= 0 && d <= MOST)) {
+            return null;
           }
+          v[field] = d;
+          any = true;
         } catch (NumberFormatException e) {
-          // one figure that can't be read does not spoil the others
+          return null; // who spoils one figure can't be trusted with the others
         }
       }
     }
--- a/src/main/java/corkproxy/proxy/UpstreamCall.java
+++ b/src/main/java/corkproxy/proxy/UpstreamCall.java
@@ -30,9 +30,6 @@
   /** Part of the answer's body. */
   abstract void content(HttpContent part);
 
-  /** All that one read brought has been handed on. */
-  void readComplete() {}
-
   /** The answer is whole. */
   abstract void end();
 
--- a/src/main/java/corkproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/corkproxy/proxy/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -25,6 +26,12 @@
     boolean surplus() {
       return actualReadableBytes() > 0;
     }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+      // Guards against an answer of two lengths: netty would drop one, and it may be the true one.
+      throw new IllegalArgumentException("Content-Length with Transfer-Encoding");
+    }
   }
 
   private enum Reply {
@@ -135,6 +142,10 @@
       }
       return;
     }
+    if (reply != Reply.NONE && reply != Reply.INTERIM || call == null) {
+      lost(); // no second answer belongs to this call
+      return;
+    }
     reply = Reply.BODY;
     // An answer ahead of the request's last byte leaves a half-sent request behind it.
     keep = written && HttpUtil.isKeepAlive(head);
@@ -213,13 +224,6 @@
     }
   }
 
-  @Override
-  public void channelReadComplete(ChannelHandlerContext ctx) {
-    if (call != null) {
-      call.readComplete();
-    }
-  }
-
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     lost();
--- /dev/null
+++ b/src/test/java/corkproxy/proxy/ProxyTest.java
@@ -0,0 +1,258 @@
+package corkproxy.proxy;
+
+import static corkproxy.proxy.World.claim;
+import static corkproxy.proxy.World.ok;
+import static corkproxy.proxy.World.write;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The client proxy between sockets that misbehave. */
+class ProxyTest {
+  private static final String FOUR_HUNDREDS = "HTTP/1.1 4";
+
+  @TempDir Path folder;
+  private World world;
+
+  @BeforeEach
+  void open() {
+    world = new World(folder, 128);
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    world.close();
+  }
+
+  // --- new configurations
+
+  @Test
+  void aReloadMovesTheWatchToAnotherDiscoveryWhateverItsVersions() throws Exception {
+    World.Host old = world.new Host(h -> ok("old"));
+    World.Host next = world.new Host(h -> ok("next"));
+    world.start(old);
+    assertThat(world.ask(claim("a"))).endsWith("old");
+    World.Discovery other = world.new Discovery(3, next); // its versions are lower
+    world.configure(other.address(), "{}");
+    world.reload();
+    World.await(() -> other.asked.contains("/catalog/members?follow=1&since=3"));
+    assertThat(world.ask(claim("b"))).endsWith("next");
+  }
+
+  @Test
+  void aBadFileIsPassedOverAndAHalfWrittenOneReadAgain() throws Exception {
+    World.Host host = world.new Host(h -> ok("old"));
+    World.Host next = world.new Host(h -> ok("next"));
+    world.start(host);
+    World.Discovery other = world.new Discovery(3, next);
+    Path file = world.configure(other.address(), "{}");
+    String whole = Files.readString(file);
+    Files.writeString(file, whole.substring(0, whole.length() / 2));
+    world.reload();
+    assertThat(world.ask(claim("a"))).endsWith("old");
+    Files.writeString(file, whole);
+    World.await(() -> other.asked.contains("/catalog/members?follow=1&since=3"));
+    assertThat(world.ask(claim("b"))).endsWith("next");
+  }
+
+  @Test
+  void hangupIsASignalLikeOthers() throws Exception {
+    CountDownLatch told = new CountDownLatch(1);
+    assertThat(Signals.onHangup(told::countDown)).isTrue();
+    new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid()))
+        .start()
+        .waitFor();
+    assertThat(told.await(World.PATIENCE_MS, TimeUnit.MILLISECONDS)).isTrue();
+  }
+
+  // --- bad clients
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content-Length: 4|Transfer-Encoding: chunked",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked|Transfer-Encoding: chunked",
+        "Content-Length: 4|Content-Length: 5",
+        "Content-Length: -1",
+        "Content-Length: +4",
+        "Content-Length: 99999999999999999999",
+        "Content-Length: 62914560",
+        "X-Timeout-Ms: soon",
+        "X-Timeout-Ms: 1e3",
+        "X-Timeout-Ms: NaN",
+        "X-Timeout-Ms: -5",
+        "X-Request-ID: another",
+        "X-Priority-Class: log",
+        "X-Note: one| two",
+        "X-Note: one|\ttwo",
+        "no colon",
+      })
+  void whatCanBeReadInTwoWaysIsRejectedHere(String lines) throws Exception {
+    World.Host host = world.new Host(h -> ok("served"));
+    world.start(host);
+    String[] split = lines.split("\\|");
+    assertThat(world.ask(claim("a", split))).startsWith(FOUR_HUNDREDS);
+    assertThat(host.heads).isEmpty();
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "POST /nothing/1 HTTP/1.1|X-Request-ID: a",
+        "POST /claim/1 HTTP/1.1",
+        "POST /claim/1 HTTP/1.1|X-Request-ID: ",
+        "GET /claim/1 HTTP/1.1|X-Request-ID: a",
+        "POST /log/1 HTTP/1.1|X-Request-ID: a",
+        "\u0000\u0001\u0002",
+      })
+  void whatNoHostCanUseIsRejectedHere(String lines) throws Exception {
+    World.Host host = world.new Host(h -> ok("served"));
+    world.start(host);
+    String request = lines.replace("|", "\r\n") + "\r\nContent-Length: 0\r\n\r\n";
+    assertThat(world.ask(request)).startsWith(FOUR_HUNDREDS);
+    assertThat(host.heads).isEmpty();
+  }
+
+  @Test
+  void anIdThatIsOpenIsNotTakenAgain() throws Exception {
+    CountDownLatch go = new CountDownLatch(1);
+    World.Host host =
+        world.new Host(
+            h -> {
+              try {
+                go.await(World.PATIENCE_MS, TimeUnit.MILLISECONDS);
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+              return ok("served");
+            });
+    world.start(host);
+    try (Socket first = world.client()) {
+      write(first, claim("a"));
+      World.await(() -> host.heads.size() == 1);
+      assertThat(world.ask(claim("a"))).startsWith("HTTP/1.1 409");
+      go.countDown();
+      assertThat(World.read(first.getInputStream())).endsWith("served");
+    }
+    assertThat(world.ask(claim("a"))).endsWith("served");
+    assertThat(host.heads).hasSize(2);
+  }
+
+  @Test
+  void aFloodOnOneConnectionIsRejectedUnsent() throws Exception {
+    World.Host host = world.new Host(h -> ok("served"));
+    world.start(host);
+    StringBuilder flood = new StringBuilder();
+    for (int i = 0; i < 300; i++) {
+      flood.append(claim("f" + i));
+    }
+    try (Socket s = world.client()) {
+      write(s, flood.toString());
+      assertThat(World.read(s.getInputStream())).startsWith(FOUR_HUNDREDS);
+      assertThat(World.ends(s)).isTrue();
+    }
+    assertThat(host.heads).isEmpty();
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "POST /claim/1 HTTP/1.1\r\nX-Long: ", "half a body"})
+  void whoNeverEndsIsEnded(String part) throws Exception {
+    world.start();
+    String text = part.equals("half a body") ? claim("a", "Content-Length: 10") + "five!" : part;
+    try (Socket s = world.client()) {
+      write(s, text);
+      assertThat(World.ends(s)).isTrue();
+    }
+  }
+
+  @Test
+  void aCrowdThatSaysNothingLeavesRoomForOthers() throws Exception {
+    World.Host host = world.new Host(h -> ok("served"));
+    world.start(host);
+    List<Socket> crowd = new ArrayList<>();
+    for (int i = 0; i < 300; i++) {
+      crowd.add(world.client());
+    }
+    assertThat(world.ask(claim("a"))).endsWith("served");
+    for (Socket s : crowd) {
+      assertThat(World.ends(s)).isTrue();
+      s.close();
+    }
+    assertThat(world.ask(claim("b"))).endsWith("served");
+  }
+
+  // --- bad hosts
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "noise\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\n\r\nbody without an end",
+        "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+      })
+  void aSpoiltAnswerFailsAndIsNotRepeated(String answer) throws Exception {
+    World.Host a = world.new Host(h -> answer);
+    World.Host b = world.new Host(h -> answer);
+    world.start(a, b);
+    assertThat(world.ask(claim("a"))).startsWith("HTTP/1.1 502");
+    assertThat(a.heads.size() + b.heads.size()).isEqualTo(1);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"noise", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"})
+  void whatComesBehindAnAnswerReachesNobody(String surplus) throws Exception {
+    AtomicInteger n = new AtomicInteger();
+    World.Host host = world.new Host(h -> ok("answer" + n.incrementAndGet()) + surplus);
+    world.start(host);
+    try (Socket s = world.client()) {
+      for (int i = 1; i <= 5; i++) {
+        write(s, claim("a" + i));
+        assertThat(World.read(s.getInputStream())).endsWith("answer" + i);
+      }
+    }
+  }
+
+  @Test
+  void interimAnswersAndReportsThatCannotBeReadDoNoHarm() throws Exception {
+    World.Host host =
+        world.new Host(
+            h ->
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                    + "HTTP/1.1 200 OK\r\nX-Server-Load: inflight=1e300,eps=none\r\n"
+                    + "Content-Length: 4\r\n\r\ngood");
+    world.start(host);
+    for (int i = 0; i < 5; i++) {
+      assertThat(world.ask(claim("a" + i))).endsWith("good");
+    }
+    assertThat(Reports.read("inflight=1e300")).isNull();
+    assertThat(Reports.read("inflight=3,eps=none")).isNull();
+    assertThat(Reports.read("inflight=3,other=none").held()).isEqualTo(3);
+  }
+
+  @Test
+  void theFaultThatAHostFindsWithARequestIsItsClients() throws Exception {
+    World.Host a = world.new Host(h -> "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n");
+    world.start(a);
+    for (int i = 0; i < 10; i++) {
+      assertThat(world.ask(claim("a" + i))).startsWith("HTTP/1.1 400");
+    }
+    assertThat(a.heads).hasSize(10);
+  }
+}
--- /dev/null
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -0,0 +1,266 @@
+package corkproxy.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+
+/** A client proxy between hosts, a discovery and clients, all on loopback sockets. */
+final class World implements AutoCloseable {
+  /** Ample: no test waits so long unless it fails. */
+  static final int PATIENCE_MS = 20_000;
+
+  private final List<Server> servers = new CopyOnWriteArrayList<>();
+  private final Path file;
+  private final int sockets;
+  Proxy proxy;
+
+  World(Path folder, int sockets) {
+    this.file = folder.resolve("config.json");
+    this.sockets = sockets;
+  }
+
+  /** A server of one thread a connection; what it does with each is the sub-class's. */
+  abstract class Server {
+    final ServerSocket listener;
+    final List<Socket> open = new CopyOnWriteArrayList<>();
+
+    Server() throws IOException {
+      listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+      servers.add(this);
+      spawn(
+          () -> {
+            while (true) {
+              Socket s = listener.accept();
+              open.add(s);
+              spawn(() -> serve(s));
+            }
+          });
+    }
+
+    String address() {
+      return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    abstract void serve(Socket s) throws IOException;
+  }
+
+  /** A host that answers each request as told; null leaves it without an answer. */
+  final class Host extends Server {
+    private final Function<String, String> answers;
+    final List<String> heads = new CopyOnWriteArrayList<>();
+
+    Host(Function<String, String> answers) throws IOException {
+      this.answers = answers;
+    }
+
+    @Override
+    void serve(Socket s) throws IOException {
+      String head;
+      while ((head = read(s.getInputStream())) != null) {
+        heads.add(head);
+        String answer = answers.apply(head);
+        if (answer != null) {
+          write(s, answer);
+        }
+      }
+    }
+  }
+
+  /** A discovery that knows a list and is watched. */
+  final class Discovery extends Server {
+    private final String list;
+    final List<String> asked = new CopyOnWriteArrayList<>();
+
+    Discovery(int version, Host... hosts) throws IOException {
+      List<String> entries = new ArrayList<>();
+      for (Host h : hosts) {
+        entries.add(
+            "{\"id\":\"h" + h.listener.getLocalPort() + "\",\"addr\":\"" + h.address()
+                + "\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":1,\"state\":\"up\",\"weight\":1.0,"
+                + "\"started_ms\":0}");
+      }
+      list =
+          "{\"version\":" + version + ",\"full\":true,\"servers\":[" + String.join(",", entries)
+              + "]}";
+    }
+
+    @Override
+    void serve(Socket s) throws IOException {
+      String head;
+      while ((head = read(s.getInputStream())) != null) {
+        String path = head.split(" ")[1];
+        asked.add(path);
+        if (path.contains("follow")) {
+          write(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+        } else {
+          write(s, ok(list));
+        }
+      }
+    }
+  }
+
+  private interface Task {
+    void run() throws IOException;
+  }
+
+  private static void spawn(Task what) {
+    Thread t =
+        new Thread(
+            () -> {
+              try {
+                what.run();
+              } catch (IOException e) {
+                // the other side, or the test, has ended it
+              }
+            });
+    t.setDaemon(true);
+    t.start();
+  }
+
+  /** Writes the configuration, as the platform does. */
+  Path configure(String discovery, String known) throws IOException {
+    return Files.writeString(
+        file,
+        "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery
+            + "\",\"seed\":\"7\",\"limits\":{\"memory_mb\":128,\"sockets\":" + sockets
+            + "},\"known\":" + known + ",\"settings\":{\"classes\":["
+            + "{\"name\":\"claim\",\"aim\":400,\"deadline\":3000,\"semantics\":\"unsafe\"},"
+            + "{\"name\":\"log\",\"aim\":400,\"deadline\":3000,\"semantics\":\"deduplicated\","
+            + "\"keyScope\":\"cell\",\"repeatWindow\":2000}],"
+            + "\"limits\":{\"cancel\":true,\"parallelTries\":true,\"maxAttempts\":3,"
+            + "\"connIdle\":60000,\"connectTimeout\":500},"
+            + "\"rules\":{\"cold\":1000,\"startCapacity\":1,\"fall\":1000,\"fallMultiple\":3},"
+            + "\"report\":{\"how\":\"answers\"},\"balancers\":1}}");
+  }
+
+  /** Starts the client proxy with these hosts; its discovery tells the same. */
+  Discovery start(Host... hosts) throws Exception {
+    Discovery d = new Discovery(40, hosts);
+    configure(d.address(), d.list);
+    proxy =
+        new Proxy(Config.load(Map.of("BALANCER_CONFIG", file.toString())), new Log(quiet()));
+    proxy.start();
+    return d;
+  }
+
+  void reload() {
+    proxy.reload(file.toString());
+  }
+
+  private static PrintStream quiet() {
+    return new PrintStream(OutputStream.nullOutputStream(), true, StandardCharsets.UTF_8);
+  }
+
+  // --- clients
+
+  Socket client() throws IOException {
+    Socket s = new Socket();
+    s.connect(new InetSocketAddress("127.0.0.1", proxy.address().getPort()), PATIENCE_MS);
+    s.setSoTimeout(PATIENCE_MS);
+    return s;
+  }
+
+  /** A request that may not be repeated, with these further header lines. */
+  static String claim(String id, String... lines) {
+    return "POST /claim/1 HTTP/1.1\r\nHost: api\r\nX-Request-ID: " + id
+        + "\r\nX-Priority-Class: claim\r\n"
+        + (lines.length == 0 ? "Content-Length: 0\r\n" : String.join("\r\n", lines) + "\r\n")
+        + "\r\n";
+  }
+
+  static String ok(String body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  static void write(Socket s, String text) throws IOException {
+    s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  /** Sends on a connection of its own; the whole answer, or null where the connection ended. */
+  String ask(String request) throws IOException {
+    try (Socket s = client()) {
+      write(s, request);
+      return read(s.getInputStream());
+    }
+  }
+
+  /** One message with its body, or null at the end of the stream. */
+  static String read(InputStream in) throws IOException {
+    ByteArrayOutputStream head = new ByteArrayOutputStream();
+    String text;
+    do {
+      int b;
+      try {
+        b = in.read();
+      } catch (java.net.SocketTimeoutException e) {
+        throw e;
+      } catch (IOException e) {
+        return null; // reset
+      }
+      if (b < 0) {
+        return null;
+      }
+      head.write(b);
+      text = head.toString(StandardCharsets.ISO_8859_1);
+    } while (!text.endsWith("\r\n\r\n"));
+    for (String line : text.split("\r\n")) {
+      if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+        int n = Integer.parseInt(line.substring(15).trim());
+        return text + new String(in.readNBytes(n), StandardCharsets.ISO_8859_1);
+      }
+    }
+    return text;
+  }
+
+  /** Whether the other side ends the connection; what it sends before is passed over. */
+  static boolean ends(Socket s) throws IOException {
+    try {
+      while (s.getInputStream().read() >= 0) {
+        // passed over
+      }
+      return true;
+    } catch (java.net.SocketTimeoutException e) {
+      return false;
+    } catch (IOException e) {
+      return true;
+    }
+  }
+
+  static void await(BooleanSupplier what) throws InterruptedException {
+    long until = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+    while (!what.getAsBoolean() && System.nanoTime() < until) {
+      Thread.sleep(10);
+    }
+    if (!what.getAsBoolean()) {
+      throw new AssertionError("did not come about in " + PATIENCE_MS + " ms");
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    if (proxy != null) {
+      proxy.stop();
+    }
+    for (Server s : servers) {
+      s.listener.close();
+      for (Socket c : s.open) {
+        c.close();
+      }
+    }
+  }
+}
