Rehearse before listening, rest connections to hosts, tell restarted hosts apart

Cause: the JVM loads and compiles while clients wait. A second copy of an answer that comes in a packet of its own could be taken for the next answer (Upstreams.start used the connection at once); connections now rest 5 ms. A host started anew at its old address gets no old connection.

--- a/src/main/java/corkproxy/proxy/Host.java
+++ b/src/main/java/corkproxy/proxy/Host.java
@@ -12,6 +12,9 @@
   InetSocketAddress address;
   boolean sendable;
   boolean listed;
+
+  /** When its process started, as discovery tells: connections to an earlier one are dead. */
+  double started;
   final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>(2);
   final Set<UpstreamCall> connecting = new LinkedHashSet<>(2);
   int calls;
--- a/src/main/java/corkproxy/proxy/Hosts.java
+++ b/src/main/java/corkproxy/proxy/Hosts.java
@@ -100,9 +100,10 @@
       named.add(h);
       h.listed = e.condition() != HostEntry.Condition.GONE;
       h.sendable = e.condition() == HostEntry.Condition.READY;
-      if (!h.sendable || !p.address().equals(h.address)) {
+      if (!h.sendable || !p.address().equals(h.address) || h.started != e.onlineSince()) {
         cut.add(h);
       }
+      h.started = e.onlineSince();
       if (p.address() != null) {
         h.address = p.address();
       }
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -70,7 +70,9 @@
    */
   public static void run(Map<String, String> env) throws ConfigException {
     Log log = new Log(System.err);
-    Proxy p = new Proxy(Config.load(env), log);
+    Config config = Config.load(env);
+    Rehearsal.run(config, log);
+    Proxy p = new Proxy(config, log);
     String file = env.get("BALANCER_CONFIG");
     if (!Signals.onHangup(() -> p.reload(file))) {
       log.line("SIGHUP can't be handled here: a new configuration needs a restart");
--- a/src/main/java/corkproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/corkproxy/proxy/UpstreamConnection.java
@@ -48,6 +48,7 @@
   private final Upstreams pool;
   private final Host host;
   private final InetSocketAddress address;
+  private final double started;
   private final UpstreamChannel channel;
   private final Decoder decoder;
   private UpstreamCall call;
@@ -61,6 +62,7 @@
     this.pool = pool;
     this.host = host;
     this.address = host.address;
+    this.started = host.started;
     this.channel = channel;
     this.decoder = decoder;
   }
@@ -85,7 +87,7 @@
   }
 
   boolean reusable() {
-    return host.sendable && address.equals(host.address);
+    return host.sendable && address.equals(host.address) && started == host.started;
   }
 
   /** Writes the call; the last moment at which it can be held back has passed. */
--- a/src/main/java/corkproxy/proxy/Upstreams.java
+++ b/src/main/java/corkproxy/proxy/Upstreams.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 
@@ -19,6 +20,9 @@
   /** Part of the host's idle time after which a connection is closed: well before the host does. */
   private static final double IDLE_PART = 0.7;
 
+  /** How long (ns) a connection rests after an answer before it carries another request. */
+  private static final long REST_NANOS = 5_000_000L;
+
   /** How long (ns) the rest of an unwanted answer is waited for. */
   private static final long DISCARD_NANOS = 500_000_000L;
 
@@ -60,7 +64,7 @@
   void start(UpstreamCall call) {
     Host host = call.host;
     UpstreamConnection c;
-    while ((c = host.idle.pollLast()) != null) {
+    while ((c = rested(host)) != null) {
       sockets.upstreamIdle(c, false);
       if (c.alive() && c.reusable()) {
         c.run(call);
@@ -78,6 +82,24 @@
     connect(call, host);
   }
 
+  /**
+   * Takes the idle connection that has rested least of those that have rested enough. Guards
+   * against bytes right behind an answer, a second copy of it say, that come in a packet of their
+   * own: on a connection in use again they would be the answer to another request. It costs a few
+   * more connections to hosts that answer within milliseconds.
+   */
+  private static UpstreamConnection rested(Host host) {
+    long now = System.nanoTime();
+    for (Iterator<UpstreamConnection> i = host.idle.descendingIterator(); i.hasNext(); ) {
+      UpstreamConnection c = i.next();
+      if (now - c.since() >= REST_NANOS) {
+        i.remove();
+        return c;
+      }
+    }
+    return null;
+  }
+
   private void connect(UpstreamCall call, Host host) {
     ChannelFuture f = bootstrap.connect(host.address);
     UpstreamChannel channel = (UpstreamChannel) f.channel();
--- a/src/test/java/corkproxy/proxy/ProxyTest.java
+++ b/src/test/java/corkproxy/proxy/ProxyTest.java
@@ -229,6 +229,21 @@
     }
   }
 
+  /** A second copy may come in a packet of its own, a moment after the answer. */
+  @Test
+  void aConnectionRestsBeforeItCarriesAnotherRequest() throws Exception {
+    World.Host host = world.new Host(h -> ok("served"));
+    world.start(host);
+    try (Socket s = world.client()) {
+      for (int i = 0; i < 200; i++) {
+        write(s, claim("a" + i));
+        assertThat(World.read(s.getInputStream())).endsWith("served");
+      }
+    }
+    assertThat(host.heads).hasSize(200);
+    assertThat(host.reusedAtOnce.get()).isZero();
+  }
+
   @Test
   void interimAnswersAndReportsThatCannotBeReadDoNoHarm() throws Exception {
     World.Host host =
--- /dev/null
+++ b/src/test/java/corkproxy/proxy/RehearsalTest.java
@@ -0,0 +1,25 @@
+package corkproxy.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class RehearsalTest {
+  @Test
+  void aRehearsalEndsAndSaysNothing(@TempDir Path folder) throws Exception {
+    try (World world = new World(folder, 128)) {
+      String file = world.configure("127.0.0.1:9", "{}").toString();
+      ByteArrayOutputStream lines = new ByteArrayOutputStream();
+      Rehearsal.run(
+          Config.load(Map.of("BALANCER_CONFIG", file)),
+          new Log(new PrintStream(lines, true, StandardCharsets.UTF_8)));
+      assertThat(lines.toString(StandardCharsets.UTF_8)).isEmpty();
+    }
+  }
+}
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
@@ -64,6 +65,9 @@
     private final Function<String, String> answers;
     final List<String> heads = new CopyOnWriteArrayList<>();
 
+    /** Requests that came on a connection less than 5 ms after an answer on it had begun. */
+    final AtomicInteger reusedAtOnce = new AtomicInteger();
+
     Host(Function<String, String> answers) throws IOException {
       this.answers = answers;
     }
@@ -71,10 +75,15 @@
     @Override
     void serve(Socket s) throws IOException {
       String head;
+      long answeredAt = System.nanoTime() - 1_000_000_000L;
       while ((head = read(s.getInputStream())) != null) {
+        if (System.nanoTime() - answeredAt < 5_000_000L) {
+          reusedAtOnce.incrementAndGet();
+        }
         heads.add(head);
         String answer = answers.apply(head);
         if (answer != null) {
+          answeredAt = System.nanoTime();
           write(s, answer);
         }
       }
