Take no header line of a host's without its colon

Seen: 28 of 9,700 answers bore a line without a colon, and 28 requests were lost to answers no host made; ruled out by the same probe: lengths that differ, surplus taken for answers. Cause: netty ends a response's header name at white space (HttpObjectDecoder.splitHeader), so such heads passed as good ones. UpstreamConnection.Decoder now refuses them, and other versions of HTTP.

--- a/src/main/java/corkproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/corkproxy/proxy/UpstreamConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 
@@ -27,6 +28,15 @@
       return actualReadableBytes() > 0;
     }
 
+    /** Guards against heads that can't be read: netty ends a name at white space, colon or none. */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+      if (length == 0 || line[start + length] != ':') {
+        throw new IllegalArgumentException("a header line without name and colon");
+      }
+      return super.splitHeaderName(line, start, length);
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
       // Guards against an answer of two lengths: netty would drop one, and it may be the true one.
@@ -144,8 +154,9 @@
       }
       return;
     }
-    if (reply != Reply.NONE && reply != Reply.INTERIM || call == null) {
-      lost(); // no second answer belongs to this call
+    int major = head.protocolVersion().majorVersion();
+    if (major != 1 || reply != Reply.NONE && reply != Reply.INTERIM || call == null) {
+      lost(); // no HTTP of ours, or a second answer, which belongs to no call
       return;
     }
     reply = Reply.BODY;
--- a/src/test/java/corkproxy/proxy/ProxyTest.java
+++ b/src/test/java/corkproxy/proxy/ProxyTest.java
@@ -205,6 +205,9 @@
         "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\nbody",
         "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbody",
         "HTTP/1.1 200 OK\r\n\r\nbody without an end",
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nspace : before\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/9.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
         "HTTP/1.1 101 Switching Protocols\r\n\r\n",
       })
   void aSpoiltAnswerFailsAndIsNotRepeated(String answer) throws Exception {
