Bound what goes to a host by our own requests in flight, eject only silent or failing hosts

Seen: 12 of our own in flight at hosts that tell 2 to 4 held (reports are late), 22 to 28 time-outs a second, then three of five hosts ejected and the rest jammed. Cause: Fleet.held took the report alone; Balancer.learn took a time-out of a host that goes on answering for a broken host.

--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -136,10 +136,11 @@
         }
       }
       case TIMEOUT, RESET, CONNECT_FAILED -> {
-        health.failed(a.host, now, false);
-        // A host that has answered nothing since is broken, not busy.
+        // A host that has answered others since is busy, or lost this one; a silent one is broken.
         if (result == Result.TIMEOUT && a.host.lastAnswer > a.sentAt) {
           admission.answered(now, spent, type.rules.aim());
+        } else {
+          health.failed(a.host, now, false);
         }
       }
       default -> {} // cancelled or moot: the host had no part in it
--- a/src/main/java/corkproxy/balancer/Fleet.java
+++ b/src/main/java/corkproxy/balancer/Fleet.java
@@ -198,12 +198,11 @@
     return anyReport && held(h, now) < Tuning.QUEUE_SEEN / 2;
   }
 
-  /** Requests the host holds: as it told last, fading towards what hosts hold on the mean. */
+  /** Requests the host holds: as told last, fading towards the mean, but all of our own. */
   private double held(Host h, double now) {
     double fresh = Math.exp(-(now - h.reportAt) / reportFade);
-    return fresh > 0.01
-        ? meanHeld + fresh * (h.report.held() + h.sentSinceReport - meanHeld)
-        : meanHeld;
+    double over = fresh > 0.01 ? fresh * (h.report.held() + h.sentSinceReport - meanHeld) : 0;
+    return Math.max(h.inFlight, meanHeld + over);
   }
 
   /** Guards against a jam that is taken for broken hosts: the few left would get all the load. */
--- a/src/test/java/corkproxy/balancer/BalancerTest.java
+++ b/src/test/java/corkproxy/balancer/BalancerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -416,6 +417,47 @@
     assertThat(bench.refused).isEmpty();
   }
 
+  /** Time-outs beside answers tell of a queue, or of requests that got lost, not of a broken host. */
+  @Test
+  void aHostThatAnswersOthersIsNotEjectedForTimeOuts() {
+    Balancer b = safe(1);
+    for (int i = 0; i < 60; i += 2) {
+      request(b, i);
+      request(b, i + 1);
+      bench.now += 20;
+      b.onOutcome(bench.now, i + 1, 0, Result.OK, 20, true, load(1));
+      bench.now += 800;
+      b.onOutcome(bench.now, i, 0, Result.TIMEOUT, 820, true, null);
+    }
+    assertThat(bench.logs).noneMatch(l -> l.endsWith("ejected"));
+  }
+
+  /** Our own requests in flight are at the host, whatever its report, which is late, says. */
+  @Test
+  void anOldReportDoesNotHideOurOwnRequests() {
+    Balancer b = safe(1);
+    for (int i = 0; i < 200; i++) {
+      bench.now += 1;
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+      if (bench.last().request() == i) {
+        b.onOutcome(bench.now, i, 0, Result.OK, 160, true, load(7)); // 20 ms for each held
+      }
+    }
+    ArrayDeque<Long> open = new ArrayDeque<>();
+    int most = 0;
+    for (long i = 200; i < 400; i++) {
+      b.onRequest(bench.now, Bench.request(i, SAFE, 800));
+      if (bench.last().request() == i) {
+        open.add(i);
+      }
+      most = Math.max(most, open.size());
+      if (i % 2 == 1) {
+        b.onOutcome(bench.now, open.remove(), 0, Result.OK, 100, true, load(0));
+      }
+    }
+    assertThat(most).isBetween(2, 30);
+  }
+
   /** A host that is gone leaves nothing behind, and its id may come back as another host's. */
   @Test
   void anIdThatComesBackInheritsNothing() {
