--- a/src/main/java/corkproxy/Main.java
+++ b/src/main/java/corkproxy/Main.java
@@ -1,10 +1,10 @@
 package corkproxy;
 
-import java.io.IOException;
 import corkproxy.adapter.Adapter;
 import corkproxy.adapter.MalformedInputException;
 import corkproxy.proxy.ConfigException;
 import corkproxy.proxy.Proxy;
+import java.io.IOException;
 
 /** Entry point of the jar. */
 public final class Main {
@@ -12,13 +12,15 @@
 
   /**
    * Runs {@code proxy}, a client proxy on sockets, or {@code adapter}, the same decisions on the
-   * simulator's wire on standard input and output.
+   * simulator's wire on standard input and output. The build runs {@code rehearse}, a client proxy
+   * for a moment, so that the JVM can archive the classes it takes.
    */
   public static void main(String[] args) throws IOException {
     String command = args.length == 1 ? args[0] : "";
     try {
       switch (command) {
         case "proxy" -> Proxy.run(System.getenv());
+        case "rehearse" -> Proxy.rehearse();
         case "adapter" -> new Adapter(System.in, System.out, System.err).run();
         default -> {
           System.err.println("usage: java -jar corkproxy.jar proxy|adapter");
--- a/src/main/java/corkproxy/proxy/Config.java
+++ b/src/main/java/corkproxy/proxy/Config.java
@@ -31,6 +31,22 @@
     int maxOpen) {
   private static final ObjectMapper JSON = new ObjectMapper();
 
+  /** A configuration of no deployment, with a class of each kind. */
+  static Config example() {
+    String kinds =
+        "{\"classes\":[{\"name\":\"a\",\"semantics\":\"deduplicated\"},"
+            + "{\"name\":\"b\",\"semantics\":\"at_most_once\"}],\"limits\":{\"cancel\":true}}";
+    try {
+      JsonNode settings = JSON.readTree(kinds);
+      InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+      return new Config(
+          "example", any, any, 1, 128, 256, settings, SettingsReader.read(settings), 15_000, 250,
+          Integer.MAX_VALUE);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /** Reads the file that {@code BALANCER_CONFIG} names; the other variables win over it. */
   static Config load(Map<String, String> env) throws ConfigException {
     String file = env.get("BALANCER_CONFIG");
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -91,6 +91,11 @@
     p.awaitEnd();
   }
 
+  /** Runs only what comes before a client proxy listens, with classes of its own. */
+  public static void rehearse() {
+    Rehearsal.run(Config.example(), new Log(System.err));
+  }
+
   /** Listens and starts the watch. */
   void start() throws ConfigException {
     try {
--- a/src/main/java/corkproxy/proxy/Rehearsal.java
+++ b/src/main/java/corkproxy/proxy/Rehearsal.java
@@ -19,8 +19,8 @@
 /**
  * Requests that a client proxy of its own carries on loopback before the real one listens. Guards
  * the first seconds: with part of a core, loading and compiling the code while clients wait costs
- * most of what they ask for then. It makes a start longer by as much, at which time nobody asks:
- * clients begin once the health check is answered. A rehearsal that fails is left out.
+ * most of what they ask for then. It makes a start longer by as much, which clients wait for the
+ * first time, but not after a restart: so it has its bound. A rehearsal that fails is left out.
  */
 final class Rehearsal {
   private static final int REQUESTS = 1_500;
@@ -37,7 +37,7 @@
     this.host = host;
   }
 
-  /** Carries some requests of each class, for a few seconds at most. */
+  /** Carries some requests of each class, for three seconds at most. */
   static void run(Config config, Log log) {
     try (ServerSocket host = new ServerSocket(0, 16, InetAddress.getLoopbackAddress())) {
       new Rehearsal(config, host).play();
