Tell the others' load apart from the echo of our own, always count what we have in flight

Cause (trace before): reports come late and count our own requests that are gone; believed for 7.5 aims, they refused all while nothing was in flight, and past that age our own requests in flight were no longer counted either. Now a report counts for the other proxies only past the recent peak of our own at that host; own requests in flight always count; no single report counts for more than four times a queue over the mean (absurd figures); the time per request held is learned from the same sum. The loopback test (a burst of ours, echoed in reports) failed without the change.

--- a/src/main/java/corkproxy/adapter/Adapter.java
+++ b/src/main/java/corkproxy/adapter/Adapter.java
@@ -93,9 +93,8 @@
     } else if (line.named("probed")) {
       Balancer b = instance();
       long host = line.number("host");
-      Result result = result((int) line.number("reason"));
-      if (b != null && result != null) {
-        b.onProbed(now, host, result, line.decimal("spent", 0), load());
+      if (b != null) {
+        b.onReport(now, host, load());
       }
     } else if (line.named("gone")) {
       Balancer b = instance();
@@ -282,11 +281,6 @@
       start("cancel").word(" txn=").number(request).word(" sendNo=").number(attempt).end();
     }
 
-    @Override
-    public void probe(long host) {
-      start("probe").word(" host=").number(host).end();
-    }
-
     @Override
     public void schedule(double delay, long token) {
       start("set_timer").word(" sleepFor=").time(Math.max(0, delay));
--- a/src/main/java/corkproxy/adapter/SettingsReader.java
+++ b/src/main/java/corkproxy/adapter/SettingsReader.java
@@ -47,14 +47,12 @@
     JsonNode limits = root.path("limits");
     JsonNode rules = root.path("rules");
     JsonNode fees = root.path("fees");
-    String reports = root.path("report").path("how").asText("none");
     JsonNode zone = root.path("zone");
     return new Settings(
         classes,
         tenants,
         new Settings.Limits(
             limits.path("cancel").asBoolean(false),
-            limits.path("probes").asBoolean(false),
             limits.path("retryAfter").asBoolean(false),
             limits.path("parallelTries").asBoolean(false),
             limits.path("maxAttempts").asInt(1),
@@ -68,16 +66,13 @@
             rules.path("askWithin").asDouble(0)),
         new Settings.Fees(
             fees.path("crossZone").asDouble(0),
-            fees.path("probe").asDouble(0),
             fees.path("waste").asDouble(0)),
         root.path("membershipMode").asText("automatic").equals("subscribe"),
         zone.isTextual() ? zone.asText() : null,
         root.path("position").asInt(0),
         root.path("balancers").asInt(1),
         root.path("overShareWorth").asDouble(1),
-        root.path("worthBy").asText("request").equals("work"),
-        reports.equals("answers"),
-        reports.equals("answers") || reports.equals("probe"));
+        root.path("worthBy").asText("request").equals("work"));
   }
 
   private static Settings.RequestClass requestClass(JsonNode c) {
--- a/src/main/java/corkproxy/balancer/Actions.java
+++ b/src/main/java/corkproxy/balancer/Actions.java
@@ -14,9 +14,6 @@
   /** Stops the wait for an attempt. */
   void cancel(long request, int attempt);
 
-  /** Checks a host. */
-  void probe(long host);
-
   /** Asks for {@link Balancer#onTimer} with this token after {@code delay} ms. */
   void schedule(double delay, long token);
 
--- a/src/main/java/corkproxy/balancer/Attempts.java
+++ b/src/main/java/corkproxy/balancer/Attempts.java
@@ -13,7 +13,7 @@
     final String zone;
     final long cell;
     final double sentAt;
-    double heldBefore = Double.NaN;
+    int ownBefore;
     boolean open = true;
     boolean mayHaveRun = true;
     boolean cancelled;
@@ -39,8 +39,6 @@
     double standing = 1;
     final List<Attempt> attempts = new ArrayList<>(2);
     int open;
-    List<Fleet.Host> asked;
-    int awaited;
     boolean ended;
     boolean streaming;
 
@@ -138,8 +136,7 @@
     Attempt a = new Attempt(c, c.attempts.size(), h, now);
     c.attempts.add(a);
     c.open++;
-    h.inFlight++;
-    h.sentSinceReport++;
+    a.ownBefore = h.inFlight++;
     a.before = h.newest;
     if (h.newest == null) {
       h.oldest = a;
--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -1,6 +1,5 @@
 package corkproxy.balancer;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +24,6 @@
   private final Map<Long, Attempts.Call> calls = new HashMap<>();
   private double followBackoff = Tuning.FOLLOW_BACKOFF;
   private boolean followTimer;
-  private final boolean asks;
 
   /** Creates an instance that knows no host yet. */
   public Balancer(Settings settings, long seed, Actions actions) {
@@ -37,9 +35,6 @@
     this.attempts = new Attempts(settings.limits());
     this.admission = new Admission(settings, random, actions);
     this.draw = new Draw(settings, fleet, health, attempts, admission, random);
-    this.asks = // where hosts tell their load only when asked, and asking is cheap
-        settings.reportsOnlyIfAsked()
-            && Tuning.MIN_CHOICES * settings.fees().probe() <= Tuning.ASK_PRICE;
     for (Settings.RequestClass c : settings.classes()) {
       classes.put(c.name(), new Attempts.ClassState(c));
     }
@@ -76,7 +71,7 @@
     c.standing = admission.standing(arrival.tenant());
     attempts.earnRetry();
     calls.put(c.id, c);
-    boolean refused = !asks && admission.refuses(now, type.rules, c.standing);
+    boolean refused = admission.refuses(now, type.rules, c.standing);
     // Guards against a jam that only memory holds up: a host known to have room gets the request.
     Fleet.Host idle = refused ? draw.pick(c, now) : null;
     if (!refused) {
@@ -97,6 +92,7 @@
       return;
     }
     Attempts.Attempt a = c.attempts.get(number);
+    fleet.notePeak(a.host, now);
     attempts.finish(a, result);
     admission.inFlight(now, -1);
     fleet.reported(a.host, now, load);
@@ -120,7 +116,7 @@
           double mean = type.meanAnswer;
           type.answered(spent);
           fleet.answered(a.host, now, spent / Math.max(0.1, mean));
-          fleet.queued(a.host, a.heldBefore, spent);
+          fleet.queued(a.host, a.ownBefore, spent);
           admission.answered(now, spent, type.rules.aim());
         }
       }
@@ -184,23 +180,11 @@
     }
   }
 
-  /** A probe has ended. */
-  public void onProbed(double now, long host, Result result, double spent, LoadReport load) {
+  /** A host has told its load outside of an attempt. */
+  public void onReport(double now, long host, LoadReport load) {
     Fleet.Host h = fleet.get(host);
-    if (h == null) {
-      return; // gone from every list since
-    }
-    h.asked = false;
-    fleet.reported(h, now, load);
-    if (result == Result.TIMEOUT || result == Result.CONNECT_FAILED || result == Result.RESET) {
-      health.failed(h, now, false);
-    }
-    List<Attempts.Call> askers = h.askers;
-    h.askers = new ArrayList<>(2);
-    for (Attempts.Call c : askers) {
-      if (!c.ended && c.asked != null && --c.awaited == 0) {
-        decide(c, now);
-      }
+    if (h != null) {
+      fleet.reported(h, now, load);
     }
   }
 
@@ -215,50 +199,11 @@
     if (c == null || c.ended || c.streaming) {
       return;
     }
-    if (c.asked != null) {
-      decide(c, now);
-    } else if (c.open > 0) {
+    if (c.open > 0) {
       overdue(c, now);
     }
   }
 
-  /**
-   * Guards against many light proxies: their own counts tie at zero, so the candidates are asked
-   * for their load first, and what they say breaks the tie. False where there is no choice.
-   */
-  private boolean ask(Attempts.Call c, double now) {
-    double patience = Tuning.ASK_PATIENCE * c.type.rules.aim();
-    List<Fleet.Host> drawn = draw.candidates(c, now);
-    if (c.deadline - now < 2 * patience || drawn.size() < 2) {
-      return false;
-    }
-    c.asked = new ArrayList<>(drawn);
-    c.awaited = 0;
-    for (Fleet.Host h : c.asked) {
-      if (!fleet.fresh(h, now)) {
-        c.awaited++;
-        h.askers.add(c);
-        if (!h.asked) {
-          h.asked = true;
-          h.askedAt = now;
-          actions.probe(h.id);
-        }
-      }
-    }
-    if (c.awaited == 0) {
-      decide(c, now);
-    } else {
-      actions.schedule(patience, c.id);
-    }
-    return true;
-  }
-
-  private void decide(Attempts.Call c, double now) {
-    List<Fleet.Host> candidates = c.asked;
-    c.asked = null;
-    begin(c, draw.choose(c, candidates, now), now);
-  }
-
   /** The last attempt is overdue: a second copy, or where only one may be out, another in place. */
   private void overdue(Attempts.Call c, double now) {
     // Guards against copies of costly requests feeding a jam: only silence earns a second copy.
@@ -280,12 +225,7 @@
   }
 
   private void dispatch(Attempts.Call c, double now) {
-    if (!asks || !ask(c, now)) {
-      begin(c, draw.pick(c, now), now);
-    }
-  }
-
-  private void begin(Attempts.Call c, Fleet.Host h, double now) {
+    Fleet.Host h = draw.pick(c, now);
     // Guards against a jam: where even the winner can't answer in time, no work is begun.
     if (h == null || (c.attempts.isEmpty() && draw.late(c, h, now))) {
       conclude(c, now);
@@ -295,8 +235,8 @@
   }
 
   private void send(Attempts.Call c, Fleet.Host h, double now) {
-    double held = fleet.fresh(h, now) ? h.report.held() + h.sentSinceReport : Double.NaN;
-    attempts.start(c, h, now).heldBefore = held;
+    attempts.start(c, h, now);
+    fleet.notePeak(h, now);
     admission.inFlight(now, 1);
     actions.send(c.id, h.id, 0);
     double due = c.type.overdueAfter() * Math.max(1, fleet.slowness(h, now));
--- a/src/main/java/corkproxy/balancer/Draw.java
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -105,7 +105,6 @@
   private boolean usable(Fleet.Host h, Attempts.Call c, double now) {
     return attempts.allowed(c, h, now)
         && (c.attempts.isEmpty() || !c.tried(h))
-        && !(h.asked && now - h.askedAt >= Tuning.ASK_PATIENCE * c.type.rules.aim())
         && health.available(h, now, c.type.overdueAfter())
         && (fleet.warmth(h, now) >= 1 || credit(h, now));
   }
--- a/src/main/java/corkproxy/balancer/Fleet.java
+++ b/src/main/java/corkproxy/balancer/Fleet.java
@@ -27,12 +27,10 @@
     double slowness = 1;
     int samples;
     double lastSample = Double.NEGATIVE_INFINITY;
-    LoadReport report = LoadReport.NONE;
+    double others;
     double reportAt = Double.NEGATIVE_INFINITY;
-    int sentSinceReport;
-    boolean asked;
-    double askedAt;
-    List<Attempts.Call> askers = new ArrayList<>(2);
+    double ownPeak;
+    double ownPeakAt;
 
     double failShare;
     int failuresInRow;
@@ -68,7 +66,7 @@
   private final List<Host> ready = new ArrayList<>();
   private final Map<String, KindSpeed> kinds = new HashMap<>();
   private int mark;
-  private double meanHeld;
+  private double meanOthers;
   private boolean anyReport;
   private boolean changed = true;
 
@@ -139,7 +137,8 @@
     h.ejectedUntil = 0;
     h.halfOpen = false;
     h.charge = 0;
-    h.report = LoadReport.NONE;
+    h.others = 0;
+    h.reportAt = Double.NEGATIVE_INFINITY;
     h.coldCredit = random.nextDouble();
     h.coldCreditAt = now;
   }
@@ -172,9 +171,9 @@
     k.slowness += Math.max(Tuning.LATENCY_ALPHA / 2, 1.0 / (++k.samples + 4)) * (capped - k.slowness);
   }
 
-  /** Learns, where a host reports that it holds many requests, how long each of them takes it. */
-  void queued(Host h, double heldBefore, double spent) {
-    double held = Double.isNaN(heldBefore) ? h.report.held() : heldBefore;
+  /** Learns, where a host holds many requests, how long each of them takes it. */
+  void queued(Host h, int ownBefore, double spent) {
+    double held = ownBefore + h.others;
     if (held >= Tuning.QUEUE_SEEN) {
       KindSpeed k = kinds.computeIfAbsent(h.kind, x -> new KindSpeed());
       double each = spent / (held + 1);
@@ -188,9 +187,8 @@
   double expectedAnswer(Host h, double now) {
     KindSpeed k = kinds.get(h.kind);
     // Past its fading a report tells nothing: or a host that nobody sends to would stay crowded.
-    return k == null || now - h.reportAt > reportFade || held(h, now) <= Tuning.QUEUE_SEEN
-        ? 0
-        : k.msPerHeld * (held(h, now) + 1);
+    double held = now - h.reportAt > reportFade ? h.inFlight : held(h, now);
+    return k == null || held <= Tuning.QUEUE_SEEN ? 0 : k.msPerHeld * (held + 1);
   }
 
   /** Whether the host has room at once by all that is known, whatever answers took of late. */
@@ -198,11 +196,21 @@
     return anyReport && held(h, now) < Tuning.QUEUE_SEEN / 2;
   }
 
-  /** Requests the host holds: as told last, fading towards the mean, but all of our own. */
+  /** Requests the host holds: our own in flight, and the others' as told, fading to their mean. */
   private double held(Host h, double now) {
     double fresh = Math.exp(-(now - h.reportAt) / reportFade);
-    double over = fresh > 0.01 ? fresh * (h.report.held() + h.sentSinceReport - meanHeld) : 0;
-    return Math.max(h.inFlight, meanHeld + over);
+    return h.inFlight + meanOthers + fresh * (h.others - meanOthers);
+  }
+
+  /** The recent peak of own requests at the host, which its reports, coming late, may count yet. */
+  double ownPeak(Host h, double now) {
+    return Math.max(h.inFlight, h.ownPeak * Math.exp(-(now - h.ownPeakAt) / settings.pace()));
+  }
+
+  /** To be called after an own request has come to the host's count, and before one leaves it. */
+  void notePeak(Host h, double now) {
+    h.ownPeak = ownPeak(h, now);
+    h.ownPeakAt = now;
   }
 
   /** Guards against a jam that is taken for broken hosts: the few left would get all the load. */
@@ -211,20 +219,20 @@
         <= Math.max(1, Tuning.MOST_EJECTED * ready.size());
   }
 
-  /** Whether the host has told its load just now. */
-  boolean fresh(Host h, double now) {
-    return now - h.reportAt <= Tuning.ASK_FRESH;
-  }
-
+  /**
+   * Guards against a jam that is our own echo: late reports count requests of ours that are gone,
+   * so only what is over the peak of our own is the others'. It reads too little where others come
+   * and go with us. No single report counts for far more than hosts are known to hold.
+   */
   void reported(Host h, double now, LoadReport report) {
     if (report == null || Double.isNaN(report.held())) {
       return;
     }
-    h.report = report;
+    double most = Tuning.PLAUSIBLE * (meanOthers + Tuning.QUEUE_SEEN);
+    h.others = Math.min(most, Math.max(0, report.held() - ownPeak(h, now)));
     h.reportAt = now;
-    h.sentSinceReport = 0;
     anyReport = true;
-    meanHeld += 0.02 * (report.held() - meanHeld);
+    meanOthers += 0.02 * (h.others - meanOthers);
   }
 
   /**
--- a/src/main/java/corkproxy/balancer/Result.java
+++ b/src/main/java/corkproxy/balancer/Result.java
@@ -1,6 +1,6 @@
 package corkproxy.balancer;
 
-/** How an attempt or a probe ended. */
+/** How an attempt ended. */
 public enum Result {
   OK(false),
   ERROR(false),
--- a/src/main/java/corkproxy/balancer/Settings.java
+++ b/src/main/java/corkproxy/balancer/Settings.java
@@ -14,9 +14,7 @@
     int position,
     int balancers,
     double overShareWorth,
-    boolean worthByWork,
-    boolean reportsOnAnswers,
-    boolean reportsOnProbes) {
+    boolean worthByWork) {
 
   /** Copies the lists, so that settings never change. */
   public Settings {
@@ -30,11 +28,6 @@
     return classes.stream().mapToDouble(RequestClass::aim).min().orElse(400);
   }
 
-  /** Whether hosts tell their load only when asked, and may be asked. */
-  public boolean reportsOnlyIfAsked() {
-    return limits.probes() && reportsOnProbes && !reportsOnAnswers;
-  }
-
   /** What may be repeated. */
   public enum Semantics {
     IDEMPOTENT,
@@ -74,7 +67,6 @@
   /** What the deployment permits. */
   public record Limits(
       boolean cancel,
-      boolean probes,
       boolean retryAfter,
       boolean parallelTries,
       int maxAttempts,
@@ -86,5 +78,5 @@
       double cold, double startCapacity, double fall, double fallMultiple, double askWithin) {}
 
   /** Prices that bear on choices. */
-  public record Fees(double crossZone, double probe, double waste) {}
+  public record Fees(double crossZone, double waste) {}
 }
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -92,6 +92,9 @@
   /** A report of at least this many requests held tells of a queue, whatever the cores. */
   static final double QUEUE_SEEN = 6;
 
+  /** A report of more than this many times a queue over the mean is cut to that. */
+  static final double PLAUSIBLE = 4;
+
   /** Part by which each answer moves the median time per request held. */
   static final double QUEUE_STEP = 0.05;
 
@@ -125,15 +128,6 @@
   /** The least part of the allowed queue that a tenant far over its share may still use. */
   static final double LEAST_STANDING = 0.4;
 
-  /** Part of the aim that a request may wait for its candidates to tell their load. */
-  static final double ASK_PATIENCE = 0.1;
-
-  /** A report younger than this (ms) is used as it is: bounds what a busy proxy asks. */
-  static final double ASK_FRESH = 20;
-
-  /** The most that asking may cost, in parts of the worth of a request. */
-  static final double ASK_PRICE = 0.05;
-
   /** First wait (ms) before discovery is asked again, doubled up to half of the time allowed. */
   static final double FOLLOW_BACKOFF = 500;
 }
--- a/src/main/java/corkproxy/proxy/Dispatcher.java
+++ b/src/main/java/corkproxy/proxy/Dispatcher.java
@@ -132,10 +132,6 @@
     deliver(e, () -> balancer.onClientGone(now(), e.id));
   }
 
-  void probed(Host host, Result result, double spent, LoadReport report) {
-    deliver(null, () -> balancer.onProbed(now(), host.id, result, spent, report));
-  }
-
   private void deliver(Exchange about, Runnable what) {
     events.add(new Event(about, what));
     if (running) {
@@ -211,14 +207,6 @@
     }
   }
 
-  @Override
-  public void probe(long host) {
-    Host h = hosts.get(host);
-    if (h != null) {
-      new Probe(this, h, settings.reportsOnProbes()).start();
-    }
-  }
-
   @Override
   public void schedule(double delay, long token) {
     Runnable event = () -> deliver(exchanges.get(token), () -> balancer.onTimer(now(), token));
--- a/src/main/java/corkproxy/proxy/UpstreamCall.java
+++ b/src/main/java/corkproxy/proxy/UpstreamCall.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
 
-/** What one connection to a host carries at a time: an attempt of a request, or a probe. */
+/** What one connection to a host carries at a time. */
 abstract class UpstreamCall {
   final Host host;
   private Channel connecting;
--- a/src/test/java/corkproxy/proxy/ProxyTest.java
+++ b/src/test/java/corkproxy/proxy/ProxyTest.java
@@ -78,6 +78,45 @@
     assertThat(told.await(World.PATIENCE_MS, TimeUnit.MILLISECONDS)).isTrue();
   }
 
+  // --- what hosts tell
+
+  /** Reports come late and count requests of ours that are gone: they must not refuse new ones. */
+  @Test
+  void theEchoOfOurOwnBurstInReportsRefusesNothing() throws Exception {
+    int burst = 20;
+    CountDownLatch go = new CountDownLatch(1);
+    World.Host host =
+        world.new Host(
+            h -> {
+              await(go);
+              return World.ok("served", "X-Server-Load: inflight=" + burst / 2);
+            });
+    world.start(host);
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < burst; i++) {
+      Socket s = world.client();
+      write(s, claim("burst" + i));
+      clients.add(s);
+    }
+    World.await(() -> host.heads.size() == burst);
+    Thread.sleep(500); // longer than the aim of 400 ms
+    go.countDown();
+    for (Socket s : clients) {
+      assertThat(World.read(s.getInputStream())).endsWith("served");
+    }
+    for (int i = 0; i < 5; i++) {
+      assertThat(world.ask(claim("after" + i))).endsWith("served");
+    }
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await(World.PATIENCE_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   // --- bad clients
 
   @ParameterizedTest
