Measure silence from the first unanswered send, bound our own queue, slow what is learned of queues

Cause (trace before): hosts behind a queue of requests that clients had given up on answered nothing for a second while we went on sending; then they were ejected for up to 60 aims. Silence now lasts from the first send without an answer since, however that one ended, and is held against a host from the aim on; clients that give up on a silent host teach of it too (the loopback test failed without it); ejection is in aims; what our own requests at the winner take may be 0.45 aims; the time per request held moves by 1% an answer, not 5%. Time-outs always press again.

--- a/src/main/java/corkproxy/balancer/Attempts.java
+++ b/src/main/java/corkproxy/balancer/Attempts.java
@@ -17,8 +17,6 @@
     boolean open = true;
     boolean mayHaveRun = true;
     boolean cancelled;
-    Attempt before;
-    Attempt after;
 
     Attempt(Call call, int number, Fleet.Host host, double sentAt) {
       this.call = call;
@@ -79,6 +77,11 @@
       return meanAnswer + Tuning.OVERDUE_DEVIATIONS * deviation;
     }
 
+    /** Silence of a host past this is held against it: what comes after the aim is of no use. */
+    double silentAfter() {
+      return Math.min(rules.aim(), overdueAfter());
+    }
+
     boolean repeatable() {
       return rules.semantics() != Settings.Semantics.AT_MOST_ONCE;
     }
@@ -137,13 +140,6 @@
     c.attempts.add(a);
     c.open++;
     a.ownBefore = h.inFlight++;
-    a.before = h.newest;
-    if (h.newest == null) {
-      h.oldest = a;
-    } else {
-      h.newest.after = a;
-    }
-    h.newest = a;
     return a;
   }
 
@@ -151,18 +147,7 @@
     a.open = false;
     a.mayHaveRun = !result.neverRan();
     a.call.open--;
-    Fleet.Host h = a.host;
-    h.inFlight--;
-    if (a.before == null) {
-      h.oldest = a.after;
-    } else {
-      a.before.after = a.after;
-    }
-    if (a.after == null) {
-      h.newest = a.before;
-    } else {
-      a.after.before = a.before;
-    }
+    a.host.inFlight--;
   }
 
   void earnRetry() {
--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -133,13 +133,20 @@
       }
       case TIMEOUT, RESET, CONNECT_FAILED -> {
         // A host that has answered others since is busy, or lost this one; a silent one is broken.
-        if (result == Result.TIMEOUT && a.host.lastAnswer > a.sentAt) {
+        if (result == Result.TIMEOUT) {
           admission.answered(now, spent, type.rules.aim());
-        } else {
+        }
+        if (result != Result.TIMEOUT || a.host.lastAnswer <= a.sentAt) {
+          health.failed(a.host, now, false);
+        }
+      }
+      case CANCELLED -> {
+        // Guards against clients that give up before their time-out would tell of a silent host.
+        if (health.unanswered(a.host, now, type.silentAfter())) {
           health.failed(a.host, now, false);
         }
       }
-      default -> {} // cancelled or moot: the host had no part in it
+      default -> {} // moot: the host had no part in it
     }
   }
 
@@ -237,6 +244,7 @@
   private void send(Attempts.Call c, Fleet.Host h, double now) {
     attempts.start(c, h, now);
     fleet.notePeak(h, now);
+    health.waits(h, now, false);
     admission.inFlight(now, 1);
     actions.send(c.id, h.id, 0);
     double due = c.type.overdueAfter() * Math.max(1, fleet.slowness(h, now));
--- a/src/main/java/corkproxy/balancer/Draw.java
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -79,8 +79,9 @@
 
   /** Whether the host tells of a queue that can't be through in time. */
   boolean late(Attempts.Call c, Fleet.Host h, double now) {
-    return fleet.expectedAnswer(h, now)
-        > Tuning.REFUSE_AT * c.type.rules.aim() * Math.max(Tuning.LEAST_STANDING, c.standing);
+    double aim = c.type.rules.aim() * Math.max(Tuning.LEAST_STANDING, c.standing);
+    return fleet.expectedAnswer(h, now) > Tuning.REFUSE_AT * aim
+        || fleet.ownAnswer(h) > Tuning.OWN_REFUSE_AT * aim;
   }
 
   /** Adds up to d of the pool's hosts to those drawn; true if one of them is due for a trial. */
@@ -105,7 +106,7 @@
   private boolean usable(Fleet.Host h, Attempts.Call c, double now) {
     return attempts.allowed(c, h, now)
         && (c.attempts.isEmpty() || !c.tried(h))
-        && health.available(h, now, c.type.overdueAfter())
+        && health.available(h, now, c.type.silentAfter())
         && (fleet.warmth(h, now) >= 1 || credit(h, now));
   }
 
@@ -157,7 +158,7 @@
       if (!attempts.allowed(c, h, now) || (fleet.warmth(h, now) < 1 && !credit(h, now))) {
         continue;
       }
-      if (health.available(h, now, c.type.overdueAfter()) && !c.tried(h)) {
+      if (health.available(h, now, c.type.silentAfter()) && !c.tried(h)) {
         return h;
       }
       if (c.attempts.isEmpty() && (lastResort == null || h.inFlight < lastResort.inFlight)) {
--- a/src/main/java/corkproxy/balancer/Fleet.java
+++ b/src/main/java/corkproxy/balancer/Fleet.java
@@ -20,9 +20,8 @@
     int listMark;
 
     int inFlight;
-    Attempts.Attempt oldest;
-    Attempts.Attempt newest;
     double lastAnswer = Double.NEGATIVE_INFINITY;
+    double waitsSince = Double.POSITIVE_INFINITY;
 
     double slowness = 1;
     int samples;
@@ -57,10 +56,12 @@
   private static final class KindSpeed {
     double slowness = 1;
     int samples;
+    int queues;
     double msPerHeld;
   }
 
   private final Settings settings;
+  private final double pace;
   private final double reportFade;
   private final Map<Long, Host> byId = new HashMap<>();
   private final List<Host> ready = new ArrayList<>();
@@ -72,7 +73,12 @@
 
   Fleet(Settings settings) {
     this.settings = settings;
-    this.reportFade = Tuning.REPORT_FADE * settings.pace();
+    this.pace = settings.pace();
+    this.reportFade = Tuning.REPORT_FADE * pace;
+  }
+
+  double pace() {
+    return pace;
   }
 
   Host get(long id) {
@@ -138,6 +144,7 @@
     h.halfOpen = false;
     h.charge = 0;
     h.others = 0;
+    h.waitsSince = Double.POSITIVE_INFINITY;
     h.reportAt = Double.NEGATIVE_INFINITY;
     h.coldCredit = random.nextDouble();
     h.coldCreditAt = now;
@@ -178,8 +185,8 @@
       KindSpeed k = kinds.computeIfAbsent(h.kind, x -> new KindSpeed());
       double each = spent / (held + 1);
       // The median: a few heavy requests say nothing of how long the next one will take.
-      double step = each > k.msPerHeld ? Tuning.QUEUE_STEP : -Tuning.QUEUE_STEP;
-      k.msPerHeld = k.msPerHeld == 0 ? each : k.msPerHeld * (1 + step);
+      double step = Math.max(Tuning.QUEUE_STEP, 1.0 / (++k.queues + 4));
+      k.msPerHeld = k.msPerHeld == 0 ? each : k.msPerHeld * (each > k.msPerHeld ? 1 + step : 1 - step);
     }
   }
 
@@ -191,6 +198,12 @@
     return k == null || held <= Tuning.QUEUE_SEEN ? 0 : k.msPerHeld * (held + 1);
   }
 
+  /** The time (ms) that our own requests at the host will take by themselves. */
+  double ownAnswer(Host h) {
+    KindSpeed k = kinds.get(h.kind);
+    return k == null || h.inFlight < Tuning.QUEUE_SEEN / 2 ? 0 : k.msPerHeld * (h.inFlight + 1);
+  }
+
   /** Whether the host has room at once by all that is known, whatever answers took of late. */
   boolean idle(Host h, double now) {
     return anyReport && held(h, now) < Tuning.QUEUE_SEEN / 2;
@@ -204,7 +217,7 @@
 
   /** The recent peak of own requests at the host, which its reports, coming late, may count yet. */
   double ownPeak(Host h, double now) {
-    return Math.max(h.inFlight, h.ownPeak * Math.exp(-(now - h.ownPeakAt) / settings.pace()));
+    return Math.max(h.inFlight, h.ownPeak * Math.exp(-(now - h.ownPeakAt) / pace));
   }
 
   /** To be called after an own request has come to the host's count, and before one leaves it. */
--- a/src/main/java/corkproxy/balancer/Health.java
+++ b/src/main/java/corkproxy/balancer/Health.java
@@ -25,13 +25,29 @@
     return !silent(h, now, overdue);
   }
 
-  /** Guards against hosts that take work and answer nothing: time-outs tell of them too late. */
+  /**
+   * Guards against hosts that take work and answer nothing, hung or behind a queue of requests that
+   * nobody waits for any more: time-outs tell of them too late. Such a host gets one request at a
+   * time, and silence lasts from the first send without an answer since, however that one ended. It
+   * can hurt where single answers regularly take longer than the aim.
+   */
   boolean silent(Fleet.Host h, double now, double overdue) {
-    if (h.oldest == null) {
-      return false;
+    return h.inFlight > 0 && unanswered(h, now, overdue);
+  }
+
+  /** Whether the host has answered nothing for so long since something was sent to it. */
+  boolean unanswered(Fleet.Host h, double now, double overdue) {
+    return now - h.waitsSince > Math.max(Tuning.SILENCE_FLOOR, overdue * Math.max(1, h.slowness));
+  }
+
+  /** The host has got a request, or given a sign of life, with requests of ours still there. */
+  void waits(Fleet.Host h, double now, boolean answered) {
+    if (answered) {
+      h.lastAnswer = now;
+      h.waitsSince = h.inFlight > 0 ? now : Double.POSITIVE_INFINITY;
+    } else {
+      h.waitsSince = Math.min(h.waitsSince, now);
     }
-    double since = Math.max(h.oldest.sentAt, h.lastAnswer);
-    return now - since > Math.max(Tuning.SILENCE_FLOOR, overdue * Math.max(1, h.slowness));
   }
 
   /** The extra count that failures charge to a host: an empty failing host must not attract. */
@@ -40,7 +56,7 @@
   }
 
   void succeeded(Fleet.Host h, double now) {
-    h.lastAnswer = now;
+    waits(h, now, true);
     h.failuresInRow = 0;
     h.failShare -= Tuning.FAILURE_ALPHA * h.failShare;
     if (h.halfOpen) {
@@ -51,7 +67,7 @@
 
   void failed(Fleet.Host h, double now, boolean answered) {
     if (answered) {
-      h.lastAnswer = now;
+      waits(h, now, true);
     }
     h.failuresInRow++;
     h.failShare += Tuning.FAILURE_ALPHA * (1 - h.failShare);
@@ -68,7 +84,7 @@
 
   /** The host turned work away as full: it is charged for it, but not held to be failing. */
   void crowded(Fleet.Host h, double now) {
-    h.lastAnswer = now;
+    waits(h, now, true);
     h.charge = charge(h, now) + Tuning.FAILURE_CHARGE;
     h.chargeAt = now;
     if (h.halfOpen) {
@@ -82,10 +98,10 @@
   }
 
   private void eject(Fleet.Host h, double now) {
-    if (now - h.lastEjection > Tuning.EJECT_FORGET) {
+    if (now - h.lastEjection > fleet.pace() * Tuning.EJECT_FORGET) {
       h.ejections = 0;
     }
-    double length = Math.min(Tuning.EJECT_MAX, Tuning.EJECT_BASE * Math.pow(2, h.ejections));
+    double length = fleet.pace() * Math.min(Tuning.EJECT_MAX, Tuning.EJECT_BASE * Math.pow(2, h.ejections));
     h.ejections++;
     h.lastEjection = now;
     // Spread, so that many proxies do not try the host again in the same moment.
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -52,13 +52,13 @@
   /** Smoothing of the failure share: about the last five outcomes. */
   static final double FAILURE_ALPHA = 0.2;
 
-  /** First ejection (ms), doubled each time up to the last. */
-  static final double EJECT_BASE = 1_000;
+  /** First ejection (in aims), doubled each time up to the last. */
+  static final double EJECT_BASE = 2.5;
 
-  static final double EJECT_MAX = 8_000;
+  static final double EJECT_MAX = 20;
 
-  /** After this time (ms) without an ejection the back-off starts anew. */
-  static final double EJECT_FORGET = 30_000;
+  /** After this time (in aims) without an ejection the back-off starts anew. */
+  static final double EJECT_FORGET = 75;
 
   /** What one failure adds to a host's count, so that fast errors do not make it look idle. */
   static final double FAILURE_CHARGE = 2;
@@ -96,11 +96,14 @@
   static final double PLAUSIBLE = 4;
 
   /** Part by which each answer moves the median time per request held. */
-  static final double QUEUE_STEP = 0.05;
+  static final double QUEUE_STEP = 0.01;
 
   /** Part of the aim past which the expected answer of the winner is too late to begin. */
   static final double REFUSE_AT = 0.7;
 
+  /** The same of what only our own requests at the winner will take, which needs no guess. */
+  static final double OWN_REFUSE_AT = 0.45;
+
   /** Pressure at which hosts of other zones are drawn from as well. */
   static final double SPILL_FROM = 0.35;
 
--- a/src/test/java/corkproxy/proxy/ProxyTest.java
+++ b/src/test/java/corkproxy/proxy/ProxyTest.java
@@ -109,6 +109,42 @@
     }
   }
 
+  /** Clients give up before any time-out: a host that says nothing must be found out all the same. */
+  @Test
+  void aSilentHostShowsWhereClientsGiveUpFirst() throws Exception {
+    World.Host silent = world.new Host(h -> null);
+    World.Host slow =
+        world.new Host(
+            h -> {
+              sleep(150);
+              return ok("served");
+            });
+    world.start(silent, slow);
+    int served = 0;
+    for (int i = 0; i < 60; i++) {
+      try (Socket s = world.client()) {
+        write(s, claim("a" + i));
+        int sent = i + 1;
+        World.await(() -> silent.heads.size() + slow.heads.size() == sent);
+        if (slow.heads.size() > served) {
+          served++;
+          assertThat(World.read(s.getInputStream())).endsWith("served");
+        } else {
+          sleep(100);
+        }
+      }
+    }
+    assertThat(silent.heads.size()).isBetween(1, 20);
+  }
+
+  private static void sleep(long ms) {
+    try {
+      Thread.sleep(ms);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static void await(CountDownLatch latch) {
     try {
       latch.await(World.PATIENCE_MS, TimeUnit.MILLISECONDS);
