--- a/src/main/java/corkproxy/balancer/Draw.java
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -60,12 +60,9 @@
   /** The winner of these candidates, or of the panic fallback where none can be used. */
   Fleet.Host choose(Attempts.Call c, List<Fleet.Host> candidates, double now) {
     best = null;
-    // Those known to be late come second: or one crowded host would refuse what another can take.
-    for (int pass = 0; pass < 2 && best == null; pass++) {
-      for (Fleet.Host h : candidates) {
-        if ((pass > 0 || !late(c, h, now)) && usable(h, c, now)) {
-          consider(h, now);
-        }
+    for (Fleet.Host h : candidates) {
+      if (usable(h, c, now)) {
+        consider(h, now);
       }
     }
     if (best == null) {
--- a/src/main/java/corkproxy/balancer/Fleet.java
+++ b/src/main/java/corkproxy/balancer/Fleet.java
@@ -204,9 +204,9 @@
     return k == null || h.inFlight < Tuning.QUEUE_SEEN / 2 ? 0 : k.msPerHeld * (h.inFlight + 1);
   }
 
-  /** Whether the host has room at once by all that is known, whatever answers took of late. */
+  /** Whether the host has just told that it has room at once, whatever answers took of late. */
   boolean idle(Host h, double now) {
-    return anyReport && held(h, now) < Tuning.QUEUE_SEEN / 2;
+    return now - h.reportAt < Tuning.REPORT_FRESH * pace && held(h, now) < Tuning.QUEUE_SEEN / 2;
   }
 
   /** Requests the host holds: our own in flight, and the others' as told, fading to their mean. */
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -34,6 +34,9 @@
   /** Time constant (in aims) at which a load report fades towards the mean of all reports. */
   static final double REPORT_FADE = 7.5;
 
+  /** A report younger than this (in aims) says more of a host than what answers took of late. */
+  static final double REPORT_FRESH = 0.5;
+
   /** Requests a host is taken to hold without queueing, when reports are weighed. */
   static final double REPORT_BASE = 4;
 
