--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -256,7 +256,9 @@
   /** The final answer, where no attempt can bring it any more. */
   private void conclude(Attempts.Call c, double now) {
     if (attempts.allowed(c, null, now)) {
-      actions.refuse(c.id, 0);
+      // A client that asks again at once meets the same queue; later than this its aim is gone.
+      double wait = settings.limits().retryAfter() ? Tuning.COME_BACK * c.type.rules.aim() : 0;
+      actions.refuse(c.id, wait);
     } else {
       actions.fail(c.id);
     }
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -101,6 +101,9 @@
   /** Part by which each answer moves the median time per request held. */
   static final double QUEUE_STEP = 0.01;
 
+  /** Part of the aim after which a refused client is told to come back. */
+  static final double COME_BACK = 0.25;
+
   /** Part of the aim past which the expected answer of the winner is too late to begin. */
   static final double REFUSE_AT = 0.7;
 
--- a/src/main/java/corkproxy/proxy/Host.java
+++ b/src/main/java/corkproxy/proxy/Host.java
@@ -7,6 +7,14 @@
 
 /** A host as the sockets see it: where it listens, whether it may get work, its connections. */
 final class Host {
+  /** Part of an idle time found dead that is trusted from then on, and the least of it. */
+  private static final double KEEP_PART = 0.7;
+
+  private static final long KEEP_LEAST_NANOS = 50_000_000L;
+
+  /** The time in which the trusted idle time doubles again. */
+  private static final double KEEP_DOUBLES_NANOS = 60e9;
+
   final String name;
   final long id;
   InetSocketAddress address;
@@ -18,9 +26,32 @@
   final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>(2);
   final Set<UpstreamCall> connecting = new LinkedHashSet<>(2);
   int calls;
+  private long keepNanos = Long.MAX_VALUE;
+  private long keepSince;
 
   Host(String name, long id) {
     this.name = name;
     this.id = id;
   }
+
+  /** How long (ns) a connection here may stand idle and still be used, by what has been seen. */
+  long keepNanos(long now) {
+    return keepNanos == Long.MAX_VALUE
+        ? keepNanos
+        : (long) (keepNanos * Math.pow(2, (double) (now - keepSince) / KEEP_DOUBLES_NANOS));
+  }
+
+  /**
+   * A connection that had stood idle for so long was dead without a sign when the next request was
+   * written to it. Guards against hosts, or boxes between, that drop idle connections sooner than
+   * the settings say: each such request may not be repeated. What has been learned is tried again
+   * in time. It costs new connections where the ends of connections have nothing to do with age.
+   */
+  void deadAfter(long idleNanos, long now) {
+    long kept = Math.max(KEEP_LEAST_NANOS, (long) (KEEP_PART * idleNanos));
+    if (kept < keepNanos(now)) {
+      keepNanos = kept;
+      keepSince = now;
+    }
+  }
 }
--- a/src/main/java/corkproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/corkproxy/proxy/UpstreamConnection.java
@@ -52,6 +52,9 @@
     UNWANTED
   }
 
+  /** An end so soon (ns) after a request was written tells that the connection was dead before. */
+  private static final long AT_ONCE_NANOS = 25_000_000L;
+
   /** What of an unwanted answer is read before the connection is given up instead. */
   private static final int UNWANTED_BYTES = 64 * 1024;
 
@@ -67,6 +70,8 @@
   private boolean keep;
   private int unwanted;
   private long since;
+  private long idleFor;
+  private long writtenAt;
 
   UpstreamConnection(Upstreams pool, Host host, UpstreamChannel channel, Decoder decoder) {
     this.pool = pool;
@@ -102,6 +107,8 @@
 
   /** Writes the call; the last moment at which it can be held back has passed. */
   void run(UpstreamCall next) {
+    writtenAt = System.nanoTime();
+    idleFor = since == 0 ? 0 : writtenAt - since;
     call = next;
     reply = Reply.NONE;
     written = false;
@@ -229,6 +236,10 @@
     call = null;
     channel.close();
     if (c != null) {
+      long now = System.nanoTime();
+      if (idleFor > 0 && reply == Reply.NONE && now - writtenAt < AT_ONCE_NANOS) {
+        host.deadAfter(idleFor, now);
+      }
       if (sent) {
         c.broken();
       } else {
--- a/src/main/java/corkproxy/proxy/Upstreams.java
+++ b/src/main/java/corkproxy/proxy/Upstreams.java
@@ -92,7 +92,8 @@
     long now = System.nanoTime();
     for (Iterator<UpstreamConnection> i = host.idle.descendingIterator(); i.hasNext(); ) {
       UpstreamConnection c = i.next();
-      if (now - c.since() >= REST_NANOS) {
+      long idle = now - c.since();
+      if (idle >= REST_NANOS && idle < host.keepNanos(now)) {
         i.remove();
         return c;
       }
@@ -161,7 +162,7 @@
     long now = System.nanoTime();
     for (Host h : hosts) {
       UpstreamConnection c;
-      while ((c = h.idle.peekFirst()) != null && now - c.since() > idleNanos) {
+      while ((c = h.idle.peekFirst()) != null && now - c.since() > Math.min(idleNanos, h.keepNanos(now))) {
         h.idle.pollFirst();
         c.channel().close();
       }
--- a/src/test/java/corkproxy/proxy/ProxyTest.java
+++ b/src/test/java/corkproxy/proxy/ProxyTest.java
@@ -137,6 +137,28 @@
     assertThat(silent.heads.size()).isBetween(1, 20);
   }
 
+  /** Idle connections that die sooner than the settings say, without a sign, are learned of. */
+  @Test
+  void connectionsThatDieIdleAreNotKeptSoLong() throws Exception {
+    World.Host host = world.new DroppingHost(150);
+    world.start(host);
+    int lost = 0;
+    for (int i = 0; i < 12; i++) {
+      lost += world.ask(claim("a" + i)).endsWith("served") ? 0 : 1;
+      sleep(200);
+    }
+    assertThat(lost).isBetween(1, 3);
+  }
+
+  /** Without a host nothing can be sent: the client is refused at once and told when to come back. */
+  @Test
+  void refusalsTellWhenToComeBack() throws Exception {
+    world.start();
+    assertThat(world.ask(claim("a")))
+        .startsWith("HTTP/1.1 503")
+        .containsIgnoringCase("retry-after: 0.100\r");
+  }
+
   private static void sleep(long ms) {
     try {
       Thread.sleep(ms);
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -61,7 +61,7 @@
   }
 
   /** A host that answers each request as told; null leaves it without an answer. */
-  final class Host extends Server {
+  class Host extends Server {
     private final Function<String, String> answers;
     final List<String> heads = new CopyOnWriteArrayList<>();
 
@@ -90,6 +90,30 @@
     }
   }
 
+  /** A host that ends a connection at the first request that comes after it stood idle so long. */
+  final class DroppingHost extends Host {
+    private final long idleMs;
+
+    DroppingHost(long idleMs) throws IOException {
+      super(h -> ok("served"));
+      this.idleMs = idleMs;
+    }
+
+    @Override
+    void serve(Socket s) throws IOException {
+      long idleSince = System.nanoTime();
+      while (read(s.getInputStream()) != null) {
+        if (System.nanoTime() - idleSince > idleMs * 1_000_000L) {
+          s.setSoLinger(true, 0); // a reset
+          s.close();
+          return;
+        }
+        write(s, ok("served"));
+        idleSince = System.nanoTime();
+      }
+    }
+  }
+
   /** A discovery that knows a list and is watched. */
   final class Discovery extends Server {
     private final String list;
@@ -151,7 +175,7 @@
             + "{\"name\":\"claim\",\"aim\":400,\"deadline\":3000,\"semantics\":\"unsafe\"},"
             + "{\"name\":\"log\",\"aim\":400,\"deadline\":3000,\"semantics\":\"deduplicated\","
             + "\"keyScope\":\"cell\",\"repeatWindow\":2000}],"
-            + "\"limits\":{\"cancel\":true,\"parallelTries\":true,\"maxAttempts\":3,"
+            + "\"limits\":{\"cancel\":true,\"retryAfter\":true,\"parallelTries\":true,\"maxAttempts\":3,"
             + "\"connIdle\":60000,\"connectTimeout\":500},"
             + "\"rules\":{\"cold\":1000,\"startCapacity\":1,\"fall\":1000,\"fallMultiple\":3},"
             + "\"report\":{\"how\":\"answers\"},\"balancers\":1}}");
