Let a host full of our own requests give way to another drawn, fade failures in aims

Each reset charged its host for 2 s, 20 aims, so hosts stood at a charge of 16 and more, the slow host was the one with the fewest and full, and refused what the fast ones beside it in the draw had room for. Charges fade in 5 aims (the same where the aim is 400 ms); a candidate that our own requests alone make late is taken only where no other was drawn.

--- a/src/main/java/corkproxy/balancer/Draw.java
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -60,9 +60,12 @@
   /** The winner of these candidates, or of the panic fallback where none can be used. */
   Fleet.Host choose(Attempts.Call c, List<Fleet.Host> candidates, double now) {
     best = null;
-    for (Fleet.Host h : candidates) {
-      if (usable(h, c, now)) {
-        consider(h, now);
+    // A slow or spared host that is full of our own requests gives way to one that is not.
+    for (int pass = 0; pass < 2 && best == null; pass++) {
+      for (Fleet.Host h : candidates) {
+        if ((pass > 0 || !full(c, h)) && usable(h, c, now)) {
+          consider(h, now);
+        }
       }
     }
     if (best == null) {
@@ -76,9 +79,16 @@
 
   /** Whether the host tells of a queue that can't be through in time. */
   boolean late(Attempts.Call c, Fleet.Host h, double now) {
-    double aim = c.type.rules.aim() * Math.max(Tuning.LEAST_STANDING, c.standing);
-    return fleet.expectedAnswer(h, now) > Tuning.REFUSE_AT * aim
-        || fleet.ownAnswer(h) > Tuning.OWN_REFUSE_AT * aim;
+    return full(c, h) || fleet.expectedAnswer(h, now) > Tuning.REFUSE_AT * usefulTime(c);
+  }
+
+  /** Whether our own requests at the host alone are such a queue. */
+  private boolean full(Attempts.Call c, Fleet.Host h) {
+    return fleet.ownAnswer(h) > Tuning.OWN_REFUSE_AT * usefulTime(c);
+  }
+
+  private static double usefulTime(Attempts.Call c) {
+    return c.type.rules.aim() * Math.max(Tuning.LEAST_STANDING, c.standing);
   }
 
   /** Adds up to d of the pool's hosts to those drawn; true if one of them is due for a trial. */
--- a/src/main/java/corkproxy/balancer/Health.java
+++ b/src/main/java/corkproxy/balancer/Health.java
@@ -52,7 +52,7 @@
 
   /** The extra count that failures charge to a host: an empty failing host must not attract. */
   double charge(Fleet.Host h, double now) {
-    return h.charge < 0.05 ? 0 : h.charge * Math.exp(-(now - h.chargeAt) / Tuning.CHARGE_FADE);
+    return h.charge < 0.05 ? 0 : h.charge * Math.exp(-(now - h.chargeAt) / (fleet.pace() * Tuning.CHARGE_FADE));
   }
 
   void succeeded(Fleet.Host h, double now) {
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -66,8 +66,8 @@
   /** What one failure adds to a host's count, so that fast errors do not make it look idle. */
   static final double FAILURE_CHARGE = 2;
 
-  /** Time constant (ms) at which that charge decays. */
-  static final double CHARGE_FADE = 2_000;
+  /** Time constant (in aims) at which that charge decays. */
+  static final double CHARGE_FADE = 5;
 
   /** Part of the fall multiple that all proxies together may use on a cold host. */
   static final double COLD_SHARE = 0.3;
--- a/src/test/java/corkproxy/proxy/ProxyTest.java
+++ b/src/test/java/corkproxy/proxy/ProxyTest.java
@@ -159,6 +159,79 @@
         .containsIgnoringCase("retry-after: 0.100\r");
   }
 
+  /** One failure is held against a host for a few aims, not for seconds where aims are short. */
+  @Test
+  void aFailureIsForgottenInAims() throws Exception {
+    world.aim = 40;
+    AtomicInteger failed = new AtomicInteger();
+    World.Host sound =
+        world.new Host(
+            h -> {
+              sleep(12);
+              return ok("served");
+            });
+    World.Host once =
+        world.new Host(
+            h ->
+                failed.getAndIncrement() == 0
+                    ? "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"
+                    : ok("served"));
+    world.start(sound, once);
+    for (int i = 0; failed.get() == 0; i++) {
+      world.ask(claim("before" + i));
+    }
+    sleep(600); // 15 aims
+    for (int i = 0; i < 100 && failed.get() == 1; i++) {
+      world.ask(claim("after" + i));
+    }
+    assertThat(failed.get()).isGreaterThan(1);
+  }
+
+  /** Where a slow host is full of our own requests, a fast one that was drawn too gets the next. */
+  @Test
+  void aHostFullOfOurOwnRequestsGivesWay() throws Exception {
+    CountDownLatch go = new CountDownLatch(1);
+    World.Host[] hosts = new World.Host[2];
+    for (int k = 0; k < 2; k++) {
+      int self = k;
+      hosts[k] =
+          world.new Host(
+              h -> {
+                if (h.contains("learn")) {
+                  awaitHeads(hosts[self], 8);
+                  sleep(self == 0 ? 150 : 5); // some 20 ms, or 1, for each request held
+                } else {
+                  await(go);
+                }
+                return ok("served");
+              });
+      hosts[k].kind = "k" + k;
+    }
+    world.start(hosts);
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < 56; i++) {
+      Socket s = world.client();
+      clients.add(s);
+      write(s, claim((i < 16 ? "learn" : "then") + i));
+      if (i == 15) {
+        for (Socket c : clients) {
+          assertThat(World.read(c.getInputStream())).endsWith("served");
+        }
+      }
+    }
+    // Equal counts up to 8 or 9 at each, where the slow one is full; the fast one takes more.
+    World.await(() -> hosts[0].heads.size() + hosts[1].heads.size() >= 16 + 22);
+    go.countDown();
+  }
+
+  private static void awaitHeads(World.Host host, int n) {
+    try {
+      World.await(() -> host.heads.size() >= n);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static void sleep(long ms) {
     try {
       Thread.sleep(ms);
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -28,6 +28,7 @@
   private final List<Server> servers = new CopyOnWriteArrayList<>();
   private final Path file;
   private final int sockets;
+  int aim = 400;
   Proxy proxy;
 
   World(Path folder, int sockets) {
@@ -64,6 +65,7 @@
   class Host extends Server {
     private final Function<String, String> answers;
     final List<String> heads = new CopyOnWriteArrayList<>();
+    String kind = "k";
 
     /** Requests that came on a connection less than 5 ms after an answer on it had begun. */
     final AtomicInteger reusedAtOnce = new AtomicInteger();
@@ -124,7 +126,7 @@
       for (Host h : hosts) {
         entries.add(
             "{\"id\":\"h" + h.listener.getLocalPort() + "\",\"addr\":\"" + h.address()
-                + "\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":1,\"state\":\"up\",\"weight\":1.0,"
+                + "\",\"zone\":\"z\",\"kind\":\"" + h.kind + "\",\"cell\":1,\"state\":\"up\",\"weight\":1.0,"
                 + "\"started_ms\":0}");
       }
       list =
@@ -172,8 +174,8 @@
         "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery
             + "\",\"seed\":\"7\",\"limits\":{\"memory_mb\":128,\"sockets\":" + sockets
             + "},\"known\":" + known + ",\"settings\":{\"classes\":["
-            + "{\"name\":\"claim\",\"aim\":400,\"deadline\":3000,\"semantics\":\"unsafe\"},"
-            + "{\"name\":\"log\",\"aim\":400,\"deadline\":3000,\"semantics\":\"deduplicated\","
+            + "{\"name\":\"claim\",\"aim\":" + aim + ",\"deadline\":3000,\"semantics\":\"unsafe\"},"
+            + "{\"name\":\"log\",\"aim\":" + aim + ",\"deadline\":3000,\"semantics\":\"deduplicated\","
             + "\"keyScope\":\"cell\",\"repeatWindow\":2000}],"
             + "\"limits\":{\"cancel\":true,\"retryAfter\":true,\"parallelTries\":true,\"maxAttempts\":3,"
             + "\"connIdle\":60000,\"connectTimeout\":500},"
