--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -108,7 +108,7 @@
   static final double REFUSE_AT = 0.7;
 
   /** The same of what only our own requests at the winner will take, which needs no guess. */
-  static final double OWN_REFUSE_AT = 0.3;
+  static final double OWN_REFUSE_AT = 0.45;
 
   /** Pressure at which hosts of other zones are drawn from as well. */
   static final double SPILL_FROM = 0.35;
