--- /dev/null
+++ b/src/main/java/corkproxy/engine/Addresses.java
@@ -0,0 +1,28 @@
+package corkproxy.engine;
+
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** Addresses as files and lists write them. */
+public final class Addresses {
+  private Addresses() {}
+
+  /** An {@code IP:port}, or null if it is none; names are not looked up. */
+  public static InetSocketAddress parse(String s) {
+    int colon = s.lastIndexOf(':');
+    byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(s.substring(0, colon));
+    if (ip == null) {
+      return null;
+    }
+    try {
+      int port = Integer.parseInt(s.substring(colon + 1));
+      return port < 0 || port > 65_535
+          ? null
+          : new InetSocketAddress(InetAddress.getByAddress(ip), port);
+    } catch (NumberFormatException | UnknownHostException e) {
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/engine/Attempt.java
@@ -0,0 +1,148 @@
+package corkproxy.engine;
+
+import corkproxy.balancer.LoadReport;
+import corkproxy.balancer.Result;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One send of a request to a host; it ends with exactly one outcome. What goes out and how the
+ * answer is read is its protocol's; whether it may have run is decided here, from what went out.
+ */
+public abstract class Attempt {
+  protected final Exchange exchange;
+  final Host host;
+  private final Dispatcher dispatcher;
+  private final int number;
+  private final double sentAt;
+  private Future<?> giveUp;
+  private Channel connecting;
+  private UpstreamConnection connection;
+  private boolean over;
+
+  /** {@code sentAt} is the module's clock. */
+  protected Attempt(Exchange exchange, Host host, int number, double sentAt) {
+    this.exchange = exchange;
+    this.dispatcher = exchange.dispatcher();
+    this.host = host;
+    this.number = number;
+    this.sentAt = sentAt;
+  }
+
+  /** Starts it; {@code giveUpAfter} 0 leaves the request's own deadline as its only one. */
+  final void start(double giveUpAfter) {
+    host.calls++;
+    if (giveUpAfter > 0) {
+      giveUp =
+          dispatcher.loop().schedule(this::timeUp, (long) (giveUpAfter * 1e6), TimeUnit.NANOSECONDS);
+    }
+    dispatcher.upstreams().start(this);
+  }
+
+  /** Ends it before anything was done for it. */
+  final void withhold() {
+    host.calls++;
+    moot();
+  }
+
+  final boolean open() {
+    return !over;
+  }
+
+  protected final boolean over() {
+    return over;
+  }
+
+  final int number() {
+    return number;
+  }
+
+  protected final Dispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  // --- the protocol's part
+
+  /** Writes all of the request; the future is that of the last byte. */
+  protected abstract ChannelFuture write(Channel channel);
+
+  /** What the host told of its load, or null. */
+  protected abstract LoadReport report();
+
+  /** The attempt is over: gives back what was kept of its answer. */
+  protected abstract void release();
+
+  // --- its connection
+
+  final void connecting(Channel channel) {
+    connecting = channel;
+  }
+
+  final void attached(UpstreamConnection to) {
+    connecting = null;
+    connection = to;
+  }
+
+  protected final UpstreamConnection connection() {
+    return connection;
+  }
+
+  /** Whether the last byte may have reached the host: the one place that says so. */
+  protected final boolean mayHaveRun() {
+    return connection != null && connection.written();
+  }
+
+  /** Ends the use of the connection, by closing it unless the answer has been read to its end. */
+  final void abandon() {
+    if (connecting != null) {
+      connecting.close();
+      connecting = null;
+    }
+    if (connection != null) {
+      connection.abort(this);
+    }
+  }
+
+  // --- its end
+
+  /** The last byte has not gone out: there was no connection, or it went away before. */
+  final void notSent() {
+    finish(Result.CONNECT_FAILED);
+  }
+
+  /** The host must not get it any more, and no byte of it has gone out. */
+  final void moot() {
+    finish(Result.MOOT);
+  }
+
+  /** Nobody waits any longer. What was not written whole never ran, whatever it waited for. */
+  final void timeUp() {
+    finish(mayHaveRun() ? Result.TIMEOUT : Result.MOOT);
+  }
+
+  final void cancel() {
+    finish(mayHaveRun() ? Result.CANCELLED : Result.MOOT);
+  }
+
+  /** The connection broke, or the answer is malformed; the last byte had been written. */
+  protected void broken() {
+    finish(Result.RESET);
+  }
+
+  /** Ends it with this outcome; harmless if it is over. */
+  protected final void finish(Result result) {
+    if (over) {
+      return;
+    }
+    over = true;
+    host.calls--;
+    if (giveUp != null) {
+      giveUp.cancel(false);
+    }
+    release();
+    dispatcher.upstreams().end(this);
+    exchange.attemptEnded(this, result, dispatcher.now() - sentAt, report());
+  }
+}
--- a/src/main/java/corkproxy/proxy/Body.java
+++ b/src/main/java/corkproxy/engine/Body.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package corkproxy.engine;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -9,7 +9,7 @@
  * A buffered body. Bytes are copied into blocks of its own: slices of the read buffers would keep
  * whole read buffers alive for a few bytes each when a body comes slowly.
  */
-final class Body {
+public final class Body {
   private static final int BLOCK = 64 * 1024;
   private static final int FIRST = 512;
 
@@ -28,7 +28,7 @@
     this.partial = partial;
   }
 
-  void append(ByteBuf bytes) {
+  public void append(ByteBuf bytes) {
     int n = bytes.readableBytes();
     budget.charge(n, partial);
     size += n;
@@ -44,11 +44,11 @@
     }
   }
 
-  long size() {
+  public long size() {
     return size;
   }
 
-  void completed() {
+  public void completed() {
     if (partial) {
       partial = false;
       budget.completed(size);
@@ -56,7 +56,7 @@
   }
 
   /** The blocks, each retained for one write. */
-  List<ByteBuf> retained() {
+  public List<ByteBuf> retained() {
     List<ByteBuf> out = new ArrayList<>(blocks.size());
     for (ByteBuf b : blocks) {
       out.add(b.retainedDuplicate());
@@ -65,7 +65,7 @@
   }
 
   /** Gives the bytes back; harmless if done before. */
-  void free() {
+  public void free() {
     for (ByteBuf b : blocks) {
       b.release();
     }
--- a/src/main/java/corkproxy/proxy/BodyBudget.java
+++ b/src/main/java/corkproxy/engine/BodyBudget.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package corkproxy.engine;
 
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -7,7 +7,7 @@
  * The one bound over all buffered bodies, of requests and of answers. What does not fit waits in
  * its socket: its reader is paused and resumed in order of waiting.
  */
-final class BodyBudget {
+public final class BodyBudget {
   /** Bodies up to this size may use all of the budget, larger ones leave a part to them. */
   static final int SMALL = 64 * 1024;
 
@@ -18,7 +18,7 @@
   private long used;
   private long incomplete;
 
-  BodyBudget(long limit) {
+  public BodyBudget(long limit) {
     this.limit = limit;
   }
 
@@ -50,21 +50,21 @@
   }
 
   /** Whether a body of this size must not grow now. */
-  boolean full(long size) {
+  public boolean full(long size) {
     return used >= limitFor(size);
   }
 
   /** Whether waiting would never end: requests that still come hold all that they may. */
-  boolean stuck() {
+  public boolean stuck() {
     return incomplete >= limitFor(Long.MAX_VALUE);
   }
 
   /** Runs {@code resume} once when bytes have been freed. */
-  void await(Runnable resume) {
+  public void await(Runnable resume) {
     waiting.add(resume);
   }
 
-  void forget(Runnable resume) {
+  public void forget(Runnable resume) {
     waiting.remove(resume);
   }
 
--- /dev/null
+++ b/src/main/java/corkproxy/engine/Call.java
@@ -0,0 +1,23 @@
+package corkproxy.engine;
+
+/**
+ * A client's request as its protocol holds it: its bytes, and where its one final answer goes. The
+ * engine calls exactly one of {@link #refused}, {@link #failed} and what the protocol's own attempt
+ * does after {@link Exchange#claim} has told it that it may answer.
+ */
+public interface Call {
+  /** The request goes on as this exchange: the first one, or a further one in another pool. */
+  void carriedBy(Exchange exchange);
+
+  /** An attempt of the exchange at the host, not started yet. */
+  Attempt attempt(Exchange exchange, Host host, int number, double now);
+
+  /** Final answer "no, and trying again does no harm"; {@code coolDownMs} 0 gives no advice. */
+  void refused(double coolDownMs);
+
+  /** Final answer "failed", which promises nothing about the effect. */
+  void failed(boolean timeUp);
+
+  /** The request and its attempts are over: its bytes are not needed any more. */
+  void free();
+}
--- a/src/main/java/corkproxy/proxy/Dispatcher.java
+++ b/src/main/java/corkproxy/engine/Dispatcher.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package corkproxy.engine;
 
 import corkproxy.balancer.Actions;
 import corkproxy.balancer.Arrival;
@@ -13,15 +13,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * Runs the module on the event loop: hands it one event at a time, in the order in which they
  * came, and carries out what it asks for. What an action brings about at once waits in a queue
  * until the module has returned.
  */
-final class Dispatcher implements Actions {
+public final class Dispatcher implements Actions {
   /** The module's clock begins here, so that a host that started before this process has a time. */
   private static final double CLOCK_START = 1e9;
 
@@ -40,22 +40,26 @@
   private boolean running;
   private long nextId;
   private Runnable follow = () -> {};
+  private BooleanSupplier retries = () -> true;
 
-  Dispatcher(EventLoop loop, Config config, Upstreams upstreams, BodyBudget budget, Log log) {
+  /** A pool of hosts on this loop, with a module of its own that is seeded so. */
+  public Dispatcher(
+      EventLoop loop, Settings settings, long seed, Upstreams upstreams, BodyBudget budget, Log log) {
     this.loop = loop;
     this.log = log;
-    this.settings = config.settings();
+    this.settings = settings;
     this.upstreams = upstreams;
     this.budget = budget;
     this.hosts = new Hosts(System.currentTimeMillis() - now());
-    this.balancer = new Balancer(settings, config.seed(), this);
+    this.balancer = new Balancer(settings, seed, this);
   }
 
-  double now() {
+  /** The module's clock (ms). */
+  public double now() {
     return CLOCK_START + (System.nanoTime() - startedAt) / 1e6;
   }
 
-  EventLoop loop() {
+  public EventLoop loop() {
     return loop;
   }
 
@@ -63,64 +67,84 @@
     return upstreams;
   }
 
-  BodyBudget budget() {
+  public BodyBudget budget() {
     return budget;
   }
 
-  Hosts hosts() {
-    return hosts;
+  /** Whether any host may get work. */
+  public boolean anySendable() {
+    return hosts.anySendable();
   }
 
-  Settings settings() {
-    return settings;
+  /** Lets these bounds over further attempts say no to what the module asks for. */
+  public void bound(BooleanSupplier retries) {
+    this.retries = retries;
+  }
+
+  boolean retryAllowed() {
+    return retries.getAsBoolean();
   }
 
   int maxAttempts() {
     return settings.limits().maxAttempts();
   }
 
-  Body newBody(long expected, boolean partial) {
+  /** An empty body under the budget; {@code expected} bytes or -1, {@code partial} a request's. */
+  public Body newBody(long expected, boolean partial) {
     return new Body(budget, PooledByteBufAllocator.DEFAULT, expected, partial);
   }
 
   /** Requests that are not over, or whose attempts are not. */
-  int open() {
+  public int open() {
     return exchanges.size();
   }
 
-  long newId() {
-    return nextId++;
-  }
 
   // --- events
 
   /** Starts the module with the list as it was last had; {@code follow} opens the watch. */
-  void start(Hosts.News known, Runnable follow) {
+  public void start(Hosts.News known, Runnable follow) {
     this.follow = follow;
     deliver(null, () -> balancer.onStart(now()));
     membership(corkproxy.balancer.News.CACHED, known);
   }
 
-  void membership(corkproxy.balancer.News kind, Hosts.News news) {
-    Set<Host> cut = hosts.apply(news);
-    List<HostEntry> entries = news.entries();
+  /** A list, or changes to it, that has been checked whole. */
+  public void membership(corkproxy.balancer.News kind, Hosts.News news) {
+    Hosts.Change change = hosts.apply(news);
+    List<HostEntry> entries = change.entries();
     deliver(null, () -> balancer.onMembership(now(), kind, entries));
-    for (Host h : cut) {
+    for (Host h : change.cut()) {
       // Guards against a send to a host that drains or has moved while its connection comes up.
-      for (UpstreamCall call : upstreams.cut(h)) {
-        call.moot();
+      for (Attempt a : upstreams.cut(h)) {
+        a.moot();
       }
     }
     hosts.forgetGone();
   }
 
-  void followFailed() {
+  /** The watch broke or could not be opened. */
+  public void followFailed() {
     deliver(null, () -> balancer.onMembership(now(), corkproxy.balancer.News.FAILED, null));
   }
 
-  void arrived(Exchange e, Arrival arrival) {
-    exchanges.put(e.id, e);
-    deliver(e, () -> balancer.onRequest(now(), arrival));
+  /**
+   * Takes a request that has come whole; its final answer comes within {@code arrival.budget()} ms.
+   * The arrival's id is of no account: the pool has numbers of its own.
+   */
+  public void take(Call call, Arrival arrival, Fallback fallback) {
+    long id = nextId++;
+    Exchange e = new Exchange(id, this, call, now() + arrival.budget(), fallback);
+    exchanges.put(id, e);
+    Arrival numbered =
+        new Arrival(
+            id,
+            arrival.className(),
+            arrival.tenant(),
+            arrival.budget(),
+            arrival.estimate(),
+            arrival.repeat());
+    deliver(e, () -> balancer.onRequest(now(), numbered));
   }
 
   void outcome(
@@ -165,7 +189,8 @@
     exchanges.remove(e.id);
   }
 
-  void sweep() {
+  /** Upkeep, a few times a second. */
+  public void sweep() {
     upstreams.sweep(hosts.all());
     hosts.forgetGone();
   }
--- /dev/null
+++ b/src/main/java/corkproxy/engine/Exchange.java
@@ -0,0 +1,177 @@
+package corkproxy.engine;
+
+import corkproxy.balancer.Arrival;
+import corkproxy.balancer.LoadReport;
+import corkproxy.balancer.Result;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One client request in one pool, from its last byte on. The only place that gives a final answer,
+ * and it gives exactly one; holds the deadline and the attempts.
+ *
+ * <p>Where a further pool may take the request up, a refusal by this pool's module moves it there
+ * in place of answering, if {@link Fallback} names one and nothing that was sent may have run.
+ */
+public final class Exchange {
+  final long id;
+  private final Dispatcher dispatcher;
+  private final Call call;
+  private final double deadlineAt;
+  private final Fallback fallback;
+  private final List<Attempt> attempts = new ArrayList<>(2);
+  private final List<Future<?>> timers = new ArrayList<>(2);
+  private int open;
+  private boolean answered;
+  private boolean mayHaveRun;
+  private boolean moved;
+
+  /** {@code deadlineAt} is on the dispatcher's clock. */
+  Exchange(long id, Dispatcher dispatcher, Call call, double deadlineAt, Fallback fallback) {
+    this.id = id;
+    this.dispatcher = dispatcher;
+    this.call = call;
+    this.deadlineAt = deadlineAt;
+    this.fallback = fallback;
+    call.carriedBy(this);
+    later(deadlineAt - dispatcher.now(), this::timeUp);
+  }
+
+  Dispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  /** Runs something later unless the request and its attempts are all over by then. */
+  void later(double delay, Runnable what) {
+    long nanos = Math.max(0, (long) (delay * 1e6));
+    timers.add(dispatcher.loop().schedule(what, nanos, TimeUnit.NANOSECONDS));
+  }
+
+  /** Whether the final answer has been given, or nobody waits for one. */
+  public boolean answered() {
+    return answered;
+  }
+
+  /** How long (ms) the client still waits; at least 1. */
+  public long remainingMs() {
+    return Math.max(1, (long) (deadlineAt - dispatcher.now()));
+  }
+
+  // --- attempts
+
+  void send(Host host, double giveUpAfter) {
+    Attempt a = call.attempt(this, host, attempts.size(), dispatcher.now());
+    attempts.add(a);
+    open++;
+    if (answered
+        || !host.sendable
+        || attempts.size() > dispatcher.maxAttempts()
+        || giveUpAfter < 0
+        || dispatcher.now() >= deadlineAt
+        || attempts.size() > 1 && !dispatcher.retryAllowed()) {
+      a.withhold();
+    } else {
+      a.start(giveUpAfter);
+    }
+  }
+
+  void cancel(int number) {
+    attempts.get(number).cancel();
+  }
+
+  void attemptEnded(Attempt a, Result result, double spent, LoadReport report) {
+    open--;
+    mayHaveRun |= !result.neverRan();
+    dispatcher.outcome(this, a.number(), result, spent, answered, report);
+    forgetIfDone();
+  }
+
+  // --- the one final answer
+
+  void refuse(double coolDown) {
+    if (!answered && move()) {
+      return;
+    }
+    if (claim()) {
+      call.refused(coolDown);
+      forgetIfDone();
+    }
+  }
+
+  /** Fails the request unless it has been answered. */
+  public void fail() {
+    if (claim()) {
+      call.failed(dispatcher.now() >= deadlineAt);
+      forgetIfDone();
+    }
+  }
+
+  /** Whether the caller may give the final answer now; true once. */
+  public boolean claim() {
+    boolean first = !answered;
+    answered = true;
+    return first;
+  }
+
+  /**
+   * Lets the next pool take the request. Guards rule 2: what may have run in this pool may be
+   * repeated elsewhere only where its class is safe, since another pool is no group that drops its
+   * repeats.
+   */
+  private boolean move() {
+    Fallback.Next next = fallback == null ? null : fallback.next(mayHaveRun);
+    double left = deadlineAt - dispatcher.now();
+    if (next == null || left <= 0) {
+      return false;
+    }
+    answered = true;
+    moved = true;
+    forgetIfDone();
+    Arrival as = next.arrival();
+    next.dispatcher()
+        .take(
+            call,
+            new Arrival(0, as.className(), as.tenant(), left, as.estimate(), as.repeat()),
+            next.fallback());
+    return true;
+  }
+
+  // --- ends
+
+  /** The client has gone before its answer. */
+  public void clientGone() {
+    if (answered) {
+      return;
+    }
+    answered = true;
+    dispatcher.clientGone(this);
+    forgetIfDone();
+  }
+
+  private void timeUp() {
+    for (int i = 0; i < attempts.size(); i++) {
+      if (attempts.get(i).open()) {
+        attempts.get(i).timeUp();
+      }
+    }
+    if (!answered) {
+      fail(); // the module holds it still: the client's time is up all the same
+      dispatcher.clientGone(this);
+    }
+  }
+
+  private void forgetIfDone() {
+    if (answered && open == 0) {
+      for (int i = 0; i < timers.size(); i++) {
+        timers.get(i).cancel(false);
+      }
+      timers.clear();
+      if (!moved) {
+        call.free();
+      }
+      dispatcher.forget(this);
+    }
+  }
+}
--- a/src/main/java/corkproxy/proxy/Host.java
+++ b/src/main/java/corkproxy/engine/Host.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package corkproxy.engine;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -6,7 +6,7 @@
 import java.util.Set;
 
 /** A host as the sockets see it: where it listens, whether it may get work, its connections. */
-final class Host {
+public final class Host {
   /** Part of an idle time found dead that is trusted from then on, and the least of it. */
   private static final double KEEP_PART = 0.7;
 
@@ -15,7 +15,7 @@
   /** The time in which the trusted idle time doubles again. */
   private static final double KEEP_DOUBLES_NANOS = 60e9;
 
-  final String name;
+  public final String name;
   final long id;
   InetSocketAddress address;
   boolean sendable;
@@ -24,7 +24,7 @@
   /** When its process started, as discovery tells: connections to an earlier one are dead. */
   double started;
   final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>(2);
-  final Set<UpstreamCall> connecting = new LinkedHashSet<>(2);
+  final Set<Attempt> connecting = new LinkedHashSet<>(2);
   int calls;
   private long keepNanos = Long.MAX_VALUE;
   private long keepSince;
--- /dev/null
+++ b/src/main/java/corkproxy/engine/Hosts.java
@@ -0,0 +1,118 @@
+package corkproxy.engine;
+
+import corkproxy.balancer.HostEntry;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The hosts that discovery has named, and the numbers by which the module knows them. */
+public final class Hosts {
+  /** A host as a list names it; {@code startedUnixMs} 0 is long ago, {@code address} may be null
+   * where it gets no work. */
+  public record Member(
+      String name,
+      InetSocketAddress address,
+      String zone,
+      String kind,
+      long cell,
+      HostEntry.Condition condition,
+      double weight,
+      double startedUnixMs) {}
+
+  /** One list, or changes to it, checked whole before anything of it is applied. */
+  public record News(long version, boolean full, List<Member> members) {}
+
+  /** What a list changed: the entries for the module, the hosts that may get nothing as they were. */
+  record Change(List<HostEntry> entries, Set<Host> cut) {}
+
+  private final Map<String, Host> byName = new HashMap<>();
+  private final Map<Long, Host> byId = new HashMap<>();
+  private final double unixOffset;
+
+  /** {@code unixOffset} is Unix time less the module's clock. */
+  Hosts(double unixOffset) {
+    this.unixOffset = unixOffset;
+  }
+
+  Host get(long id) {
+    return byId.get(id);
+  }
+
+  Collection<Host> all() {
+    return byId.values();
+  }
+
+  boolean anySendable() {
+    for (Host h : byId.values()) {
+      if (h.sendable) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Applies a list. */
+  Change apply(News news) {
+    List<HostEntry> entries = new ArrayList<>(news.members().size());
+    Set<Host> cut = new HashSet<>();
+    Set<Host> named = new HashSet<>();
+    for (Member m : news.members()) {
+      Host h = byName.get(m.name());
+      if (h == null) {
+        h = new Host(m.name(), number(m.name()));
+        byName.put(h.name, h);
+        byId.put(h.id, h);
+      }
+      double started =
+          m.startedUnixMs() <= 0 ? 0 : Math.max(0, m.startedUnixMs() - unixOffset);
+      entries.add(
+          new HostEntry(h.id, m.zone(), m.kind(), m.cell(), m.condition(), m.weight(), started));
+      named.add(h);
+      h.listed = m.condition() != HostEntry.Condition.GONE;
+      h.sendable = m.condition() == HostEntry.Condition.READY;
+      if (!h.sendable || !m.address().equals(h.address) || h.started != started) {
+        cut.add(h);
+      }
+      h.started = started;
+      if (m.address() != null) {
+        h.address = m.address();
+      }
+    }
+    if (news.full()) {
+      for (Host h : byId.values()) {
+        if (!named.contains(h)) {
+          h.listed = false;
+          h.sendable = false;
+          cut.add(h);
+        }
+      }
+    }
+    return new Change(entries, cut);
+  }
+
+  /** Guards against a fleet that churns for ever: a host that is gone and carries nothing is freed. */
+  void forgetGone() {
+    byId.values().removeIf(h -> !h.listed && h.calls == 0 && byName.remove(h.name) != null);
+  }
+
+  /**
+   * The number of a host. It comes from the name alone, as the module's ring must have the same
+   * order in every client proxy and after a restart; two names that collide move on by one.
+   */
+  private long number(String name) {
+    long h = 0xcbf29ce484222325L;
+    for (int i = 0; i < name.length(); i++) {
+      h = (h ^ name.charAt(i)) * 0x100000001b3L;
+    }
+    h &= Long.MAX_VALUE;
+    while (byId.containsKey(h)) {
+      h = (h + 1) & Long.MAX_VALUE;
+    }
+    return h;
+  }
+}
--- a/src/main/java/corkproxy/proxy/Log.java
+++ b/src/main/java/corkproxy/engine/Log.java
@@ -1,9 +1,9 @@
-package corkproxy.proxy;
+package corkproxy.engine;
 
 import java.io.PrintStream;
 
 /** Lines for the people on call, on standard error; at most so many a second, the rest is counted. */
-final class Log {
+public final class Log {
   private static final int MAX_PER_SECOND = 50;
 
   private final PrintStream out;
@@ -11,18 +11,18 @@
   private int written;
   private long dropped;
 
-  Log(PrintStream out) {
+  public Log(PrintStream out) {
     this.out = out;
   }
 
-  void line(String text) {
+  public void line(String text) {
     if (admits()) {
       out.println("corkproxy: " + text.replace('\n', ' ').replace('\r', ' '));
     }
   }
 
   /** A failure of our own code, with its stack. */
-  void failure(String what, Throwable t) {
+  public void failure(String what, Throwable t) {
     if (admits()) {
       out.println("corkproxy: " + what);
       t.printStackTrace(out);
--- /dev/null
+++ b/src/main/java/corkproxy/engine/Protocol.java
@@ -0,0 +1,7 @@
+package corkproxy.engine;
+
+/** How hosts are spoken to. One instance serves all connections of a pool. */
+public interface Protocol {
+  /** Makes a fresh connection ready to carry attempts: fills its pipeline, the result last. */
+  UpstreamConnection open(Upstreams pool, Host host, UpstreamChannel channel);
+}
--- a/src/main/java/corkproxy/proxy/Sockets.java
+++ b/src/main/java/corkproxy/engine/Sockets.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package corkproxy.engine;
 
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -7,7 +7,7 @@
  * The bound over all descriptors, half of them for clients and half for hosts, so that neither side
  * can take the other's. Idle connections to hosts make room for new ones, oldest first.
  */
-final class Sockets {
+public final class Sockets {
   /** A connection that carries nothing and may be closed to make room. */
   interface Idle {
     void closeIdle();
@@ -21,17 +21,17 @@
   private int clients;
   private int upstreams;
 
-  Sockets(int descriptors) {
+  public Sockets(int descriptors) {
     this.limit = Math.max(8, (descriptors - RESERVED) / 2);
   }
 
   /** Whether one more client may be accepted. */
-  boolean roomForClient() {
+  public boolean roomForClient() {
     return clients < limit;
   }
 
   /** Whether one more connection to a host may be opened once something idle was closed. */
-  boolean roomForUpstream() {
+  public boolean roomForUpstream() {
     while (upstreams >= limit && !idleUpstreams.isEmpty()) {
       Idle oldest = idleUpstreams.iterator().next();
       idleUpstreams.remove(oldest);
@@ -40,11 +40,11 @@
     return upstreams < limit;
   }
 
-  void clientOpened() {
+  public void clientOpened() {
     clients++;
   }
 
-  void clientClosed() {
+  public void clientClosed() {
     clients--;
   }
 
--- a/src/main/java/corkproxy/proxy/UpstreamChannel.java
+++ b/src/main/java/corkproxy/engine/UpstreamChannel.java
@@ -1,11 +1,11 @@
-package corkproxy.proxy;
+package corkproxy.engine;
 
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
 /** A socket to a host that can be asked, just before it is written to, whether it is still quiet. */
-final class UpstreamChannel extends NioSocketChannel {
+public final class UpstreamChannel extends NioSocketChannel {
   private final ByteBuffer one = ByteBuffer.allocate(1);
 
   /**
--- /dev/null
+++ b/src/main/java/corkproxy/engine/UpstreamConnection.java
@@ -0,0 +1,156 @@
+package corkproxy.engine;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.net.InetSocketAddress;
+
+/**
+ * A connection to a host. It carries one attempt at a time and goes back to its pool in between.
+ * What comes in on it is read by its protocol's sub-class.
+ */
+public abstract class UpstreamConnection extends ChannelInboundHandlerAdapter
+    implements Sockets.Idle {
+  /** An end so soon (ns) after a request was written tells that the connection was dead before. */
+  private static final long AT_ONCE_NANOS = 25_000_000L;
+
+  private final Upstreams pool;
+  private final Host host;
+  private final InetSocketAddress address;
+  private final double started;
+  private final UpstreamChannel channel;
+  private Attempt attempt;
+  private boolean written;
+  private long since;
+  private long idleFor;
+  private long writtenAt;
+
+  protected UpstreamConnection(Upstreams pool, Host host, UpstreamChannel channel) {
+    this.pool = pool;
+    this.host = host;
+    this.address = host.address;
+    this.started = host.started;
+    this.channel = channel;
+  }
+
+  public final Channel channel() {
+    return channel;
+  }
+
+  /** What it carries now, or null. */
+  protected final Attempt attempt() {
+    return attempt;
+  }
+
+  /** Whether the last byte of the present attempt has been given to the kernel. */
+  protected final boolean written() {
+    return written;
+  }
+
+  /** Whether nothing has come or ended here since it went idle; asks the socket itself. */
+  final boolean alive() {
+    return channel.isActive() && channel.quiet();
+  }
+
+  /** Nanoseconds at which it went idle or its unwanted rest began. */
+  final long since() {
+    return since;
+  }
+
+  final boolean reusable() {
+    return host.sendable && address.equals(host.address) && started == host.started;
+  }
+
+  /** Writes the attempt; the last moment at which it can be held back has passed. */
+  final void run(Attempt next) {
+    writtenAt = System.nanoTime();
+    idleFor = since == 0 ? 0 : writtenAt - since;
+    attempt = next;
+    written = false;
+    begin();
+    next.attached(this);
+    next.write(channel)
+        .addListener(
+            f -> {
+              if (attempt == next) {
+                if (f.isSuccess()) {
+                  written = true;
+                } else {
+                  lost();
+                }
+              }
+            });
+  }
+
+  /** An attempt is about to be written: what was read for the one before is of no account. */
+  protected abstract void begin();
+
+  /** Whether anything of an answer to the present attempt has come. */
+  protected abstract boolean heard();
+
+  /** The answer has been read to its end; {@code keep} tells that nothing speaks against reuse. */
+  protected final void finished(boolean keep) {
+    attempt = null;
+    channel.config().setAutoRead(true);
+    if (keep && channel.isActive() && reusable()) {
+      since = System.nanoTime();
+      pool.idle(host, this);
+    } else {
+      channel.close();
+    }
+  }
+
+  /** The attempt needs no more of its answer; the rest may be read on if that is worth it. */
+  protected final void detach(boolean readOn) {
+    attempt = null;
+    since = System.nanoTime();
+    if (readOn) {
+      pool.discarding(this);
+    } else {
+      channel.close();
+    }
+  }
+
+  /** Gives the attempt up: nothing that comes later may reach another one. */
+  final void abort(Attempt given) {
+    if (attempt == given) {
+      attempt = null;
+      channel.close();
+    }
+  }
+
+  /** Ends the connection, and with it the attempt that it carries. */
+  protected final void lost() {
+    Attempt a = attempt;
+    boolean sent = written;
+    attempt = null;
+    channel.close();
+    if (a != null) {
+      long now = System.nanoTime();
+      if (idleFor > 0 && !heard() && now - writtenAt < AT_ONCE_NANOS) {
+        host.deadAfter(idleFor, now);
+      }
+      if (sent) {
+        a.broken();
+      } else {
+        a.notSent();
+      }
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    lost();
+    pool.closed(host, this);
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    lost();
+  }
+
+  @Override
+  public void closeIdle() {
+    channel.close();
+  }
+}
--- a/src/main/java/corkproxy/proxy/Upstreams.java
+++ b/src/main/java/corkproxy/engine/Upstreams.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package corkproxy.engine;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -7,8 +7,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -16,7 +14,7 @@
 import java.util.Set;
 
 /** The connections to hosts: opens them as needed, keeps the idle ones, ends them in time. */
-final class Upstreams {
+public final class Upstreams {
   /** Part of the host's idle time after which a connection is closed: well before the host does. */
   private static final double IDLE_PART = 0.7;
 
@@ -27,29 +25,38 @@
   private static final long DISCARD_NANOS = 500_000_000L;
 
   /** Small reads and marks bound what one connection holds in memory. */
-  static final AdaptiveRecvByteBufAllocator READS = new AdaptiveRecvByteBufAllocator(512, 2048, 16_384);
+  public static final AdaptiveRecvByteBufAllocator READS = new AdaptiveRecvByteBufAllocator(512, 2048, 16_384);
 
-  static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(16_384, 32_768);
-
-  static final HttpDecoderConfig DECODER = new HttpDecoderConfig().setMaxInitialLineLength(8_192)
-      .setMaxHeaderSize(16_384).setMaxChunkSize(16_384).setInitialBufferSize(256);
+  public static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(16_384, 32_768);
 
   private final Bootstrap bootstrap;
+  private final Protocol protocol;
   private final Sockets sockets;
   private final Log log;
   private final long idleNanos;
   private final Set<UpstreamConnection> discarding = new HashSet<>();
   private long refused;
 
-  Upstreams(EventLoopGroup loop, Config config, Sockets sockets, Log log) {
+  /**
+   * Connections of one pool on one loop. {@code connIdle} is how long (ms) hosts keep an idle
+   * connection, {@code connectTimeout} how long (ms) one may take to come up.
+   */
+  public Upstreams(
+      EventLoopGroup loop,
+      Protocol protocol,
+      double connIdle,
+      double connectTimeout,
+      Sockets sockets,
+      Log log) {
+    this.protocol = protocol;
     this.sockets = sockets;
     this.log = log;
-    this.idleNanos = (long) (IDLE_PART * config.connIdle() * 1e6);
+    this.idleNanos = (long) (IDLE_PART * connIdle * 1e6);
     this.bootstrap =
         new Bootstrap()
             .group(loop)
             .channelFactory(UpstreamChannel::new)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, config.connectTimeout()))
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout))
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.RECVBUF_ALLOCATOR, READS)
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
@@ -61,7 +68,7 @@
   }
 
   /** Carries the call to its host on a quiet connection, or on a new one. */
-  void start(UpstreamCall call) {
+  void start(Attempt call) {
     Host host = call.host;
     UpstreamConnection c;
     while ((c = rested(host)) != null) {
@@ -101,11 +108,9 @@
     return null;
   }
 
-  private void connect(UpstreamCall call, Host host) {
+  private void connect(Attempt call, Host host) {
     ChannelFuture f = bootstrap.connect(host.address);
     UpstreamChannel channel = (UpstreamChannel) f.channel();
-    UpstreamConnection.Decoder decoder = new UpstreamConnection.Decoder(DECODER);
-    UpstreamConnection c = new UpstreamConnection(this, host, channel, decoder);
     sockets.upstreamOpened();
     channel.closeFuture().addListener(x -> sockets.upstreamClosed());
     call.connecting(channel);
@@ -117,14 +122,13 @@
           } else if (!f.isSuccess()) {
             call.notSent();
           } else {
-            channel.pipeline().addLast(decoder, new HttpRequestEncoder(), c);
-            c.run(call);
+            protocol.open(this, host, channel).run(call);
           }
         });
   }
 
   /** The call is over or not wanted any more. */
-  void end(UpstreamCall call) {
+  void end(Attempt call) {
     call.host.connecting.remove(call);
     call.abandon();
   }
@@ -146,13 +150,13 @@
   }
 
   /** Nothing new goes to the host as it was: returns the calls that had not got a connection. */
-  List<UpstreamCall> cut(Host host) {
+  List<Attempt> cut(Host host) {
     for (UpstreamConnection c : new ArrayList<>(host.idle)) {
       if (!c.reusable()) {
         c.channel().close();
       }
     }
-    List<UpstreamCall> unsent = new ArrayList<>(host.connecting);
+    List<Attempt> unsent = new ArrayList<>(host.connecting);
     host.connecting.clear();
     return unsent;
   }
--- /dev/null
+++ b/src/main/java/corkproxy/http/Framing.java
@@ -0,0 +1,41 @@
+package corkproxy.http;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+
+/**
+ * What has to hold of any request's head. Guards hosts, and the other clients that share their
+ * connections, against whatever could be read in two ways (RFC 9112, request smuggling).
+ */
+public final class Framing {
+  private Framing() {}
+
+  /** The status to reject the head with, or 0; {@code folded} tells of a line continued. */
+  static int fault(HttpRequest request, boolean folded, int maxBody) {
+    HttpHeaders h = request.headers();
+    if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+      return 505;
+    }
+    boolean encoded = h.contains(HttpHeaderNames.TRANSFER_ENCODING);
+    if (folded
+        || h.getAll(HttpHeaderNames.HOST).size() > 1
+        || (encoded && h.contains(HttpHeaderNames.CONTENT_LENGTH))
+        || (encoded
+            && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                String.valueOf(single(h, HttpHeaderNames.TRANSFER_ENCODING))))) {
+      return 400;
+    }
+    return HttpUtil.getContentLength(request, 0L) > maxBody ? 413 : 0;
+  }
+
+  /** The one value of a header, or null where it has none or several. */
+  public static String single(HttpHeaders h, CharSequence name) {
+    List<String> all = h.getAll(name);
+    return all.size() == 1 ? all.get(0).trim() : null;
+  }
+}
--- a/src/main/java/corkproxy/proxy/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -1,6 +1,9 @@
-package corkproxy.proxy;
+package corkproxy.http;
 
-import corkproxy.balancer.Settings;
+import corkproxy.engine.BodyBudget;
+import corkproxy.engine.Log;
+import corkproxy.engine.Sockets;
+import corkproxy.engine.Upstreams;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -10,16 +13,15 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** The side that faces the application: listens, and knows all of its connections. */
-final class Front {
+public final class Front {
   private static final int BACKLOG = 1_024;
 
   /** Connections taken in one go; more might pass the limit before it is looked at. */
@@ -28,12 +30,11 @@
   /** How long (ms) the listener rests where nothing can make room yet. */
   private static final long REST_MS = 20;
 
-  private final Dispatcher dispatcher;
   private final Sockets sockets;
   private final BodyBudget budget;
   private final Log log;
-  private final int maxOpen;
-  private final Map<String, Settings.RequestClass> types = new HashMap<>();
+  private final FrontSettings settings;
+  private Gate gate;
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
   private final Set<String> openIds = new HashSet<>();
   private Channel listener;
@@ -41,19 +42,17 @@
   private long refusedForMemory;
   private long refusedForSockets;
 
-  Front(Dispatcher dispatcher, Config config, Sockets sockets, BodyBudget budget, Log log) {
-    this.dispatcher = dispatcher;
+  /** A front of one loop; it listens itself, or is given what another has accepted. */
+  public Front(FrontSettings settings, Gate gate, Sockets sockets, BodyBudget budget, Log log) {
+    this.settings = settings;
+    this.gate = gate;
     this.sockets = sockets;
     this.budget = budget;
     this.log = log;
-    this.maxOpen = config.maxOpen();
-    for (Settings.RequestClass c : config.settings().classes()) {
-      types.put(c.name(), c);
-    }
   }
 
   /** Listens; throws what the bind throws. */
-  void listen(EventLoopGroup loop, Config config) throws Exception {
+  public void listen(EventLoopGroup loop, InetSocketAddress address) throws Exception {
     listener =
         new ServerBootstrap()
             .group(loop)
@@ -73,16 +72,17 @@
                     accepted(ch);
                   }
                 })
-            .bind(config.listen())
+            .bind(address)
             .sync()
             .channel();
   }
 
-  Channel listener() {
+  public Channel listener() {
     return listener;
   }
 
-  private void accepted(SocketChannel ch) {
+  /** Takes a connection that has been accepted; called on its loop. */
+  public void accepted(SocketChannel ch) {
     ClientConnection.Decoder decoder = new ClientConnection.Decoder();
     sockets.clientOpened();
     // Not with the handlers: they never hear of a connection that was reset before its turn.
@@ -102,6 +102,9 @@
     while (!sockets.roomForClient()) {
       ClientConnection c = mostDispensable();
       if (c == null) {
+        if (listener == null) {
+          return;
+        }
         if (listener.config().isAutoRead()) {
           listener.config().setAutoRead(false);
           listener.eventLoop().schedule(this::rested, REST_MS, TimeUnit.MILLISECONDS);
@@ -151,7 +154,7 @@
   }
 
   /** The client proxy goes: answers tell clients to move off, and idle connections are closed. */
-  void drain() {
+  public void drain() {
     draining = true;
     for (ClientConnection c : new ArrayList<>(connections)) {
       if (!c.busy() && !c.fresh()) {
@@ -160,12 +163,12 @@
     }
   }
 
-  boolean draining() {
+  public boolean draining() {
     return draining;
   }
 
   /** Whether anything that was taken, or is being taken, has no answer yet. */
-  boolean busy() {
+  public boolean busy() {
     for (ClientConnection c : connections) {
       if (c.busy()) {
         return true;
@@ -174,12 +177,8 @@
     return false;
   }
 
-  /** Whether requests would be served. */
-  boolean ready() {
-    return !draining && dispatcher.hosts().anySendable();
-  }
-
-  void sweep() {
+  /** Upkeep, a few times a second. */
+  public void sweep() {
     long now = System.nanoTime();
     for (ClientConnection c : new ArrayList<>(connections)) {
       c.sweep(now);
@@ -194,16 +193,17 @@
     log.line("out of sockets: " + ++refusedForSockets + " requests refused unsent");
   }
 
-  Settings.RequestClass type(String name) {
-    return types.get(name);
+  FrontSettings settings() {
+    return settings;
   }
 
-  Dispatcher dispatcher() {
-    return dispatcher;
+  Gate gate() {
+    return gate;
   }
 
-  Sockets sockets() {
-    return sockets;
+  /** From the next head on, this gate judges; what was taken goes on as it was taken. */
+  public void gate(Gate next) {
+    gate = next;
   }
 
   BodyBudget budget() {
@@ -213,8 +213,4 @@
   Log log() {
     return log;
   }
-
-  int maxOpen() {
-    return maxOpen;
-  }
 }
--- /dev/null
+++ b/src/main/java/corkproxy/http/FrontSettings.java
@@ -0,0 +1,21 @@
+package corkproxy.http;
+
+/**
+ * Bounds of one listener.
+ *
+ * @param maxBody bytes of a request's body
+ * @param slowMs how long a request may take to come, from its connection's opening where it is the
+ *     first; guards against clients that say nothing, or never end what they say
+ * @param idleLeastMs how long a connection on which nothing is open is kept at least
+ * @param idleMostMs and at most
+ * @param maxOpen requests that may be open in a pool at once
+ * @param uniqueIds whether an {@code X-Request-ID} may be open only once
+ */
+public record FrontSettings(
+    int maxBody, long slowMs, long idleLeastMs, long idleMostMs, int maxOpen, boolean uniqueIds) {
+
+  /** Those of the platform's clients. */
+  public static FrontSettings platform(int maxOpen) {
+    return new FrontSettings(64 * 1024, 2_100, 2_000, 6_000, maxOpen, true);
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/http/Gate.java
@@ -0,0 +1,16 @@
+package corkproxy.http;
+
+import io.netty.handler.codec.http.HttpRequest;
+import java.net.InetSocketAddress;
+
+/** Judges the heads of requests for a front: what is taken, by which pool, under which class. */
+public interface Gate {
+  /**
+   * Judges a head whose framing has been found sound. It may change the head's target and headers
+   * to what hosts are to see.
+   */
+  Verdict judge(HttpRequest head, InetSocketAddress client);
+
+  /** Whether requests would be served. */
+  boolean ready();
+}
--- a/src/main/java/corkproxy/proxy/Attempt.java
+++ b/src/main/java/corkproxy/http/HttpAttempt.java
@@ -1,7 +1,11 @@
-package corkproxy.proxy;
+package corkproxy.http;
 
 import corkproxy.balancer.LoadReport;
 import corkproxy.balancer.Result;
+import corkproxy.engine.Attempt;
+import corkproxy.engine.Body;
+import corkproxy.engine.Exchange;
+import corkproxy.engine.Host;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.HttpContent;
@@ -9,81 +13,47 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 
-/** One send of a request to a host; it ends with exactly one outcome. */
-final class Attempt extends UpstreamCall {
-  private final Exchange exchange;
-  private final Dispatcher dispatcher;
-  private final int number;
-  private final double sentAt;
+/** One send of an HTTP request to a host, and how its answer is read. */
+final class HttpAttempt extends Attempt {
+  private final HttpCall call;
   private final Runnable resume = this::resumeReading;
-  private Future<?> giveUp;
   private LoadReport report;
   private HttpResponse head;
   private Body body;
   private long length;
-  private boolean over;
 
-  Attempt(Exchange exchange, Dispatcher dispatcher, Host host, int number, double sentAt) {
-    super(host);
-    this.exchange = exchange;
-    this.dispatcher = dispatcher;
-    this.number = number;
-    this.sentAt = sentAt;
+  HttpAttempt(HttpCall call, Exchange exchange, Host host, int number, double now) {
+    super(exchange, host, number, now);
+    this.call = call;
   }
 
-  /** Starts it; {@code giveUpAfter} 0 leaves the request's own deadline as its only one. */
-  void start(double giveUpAfter) {
-    host.calls++;
-    if (giveUpAfter > 0) {
-      giveUp =
-          dispatcher.loop().schedule(this::timeUp, (long) (giveUpAfter * 1e6), TimeUnit.NANOSECONDS);
-    }
-    dispatcher.upstreams().start(this);
-  }
-
-  boolean open() {
-    return !over;
-  }
-
-  int number() {
-    return number;
-  }
-
-  @Override
-  ChannelFuture write(Channel channel) {
-    return exchange.writeTo(channel);
+  private HttpUpstreamConnection wire() {
+    return (HttpUpstreamConnection) connection();
   }
 
   @Override
-  void notSent() {
-    finish(Result.CONNECT_FAILED);
+  protected ChannelFuture write(Channel channel) {
+    if (call.isHead()) {
+      wire().expectNoBody();
+    }
+    return call.writeTo(channel, exchange.remainingMs());
   }
 
   @Override
-  void moot() {
-    finish(Result.MOOT);
-  }
-
-  /** Nobody waits any longer. What was not written whole never ran, whatever it waited for. */
-  void timeUp() {
-    finish(mayHaveRun() ? Result.TIMEOUT : Result.MOOT);
-  }
-
-  void cancel() {
-    finish(mayHaveRun() ? Result.CANCELLED : Result.MOOT);
+  protected LoadReport report() {
+    return report;
   }
 
-  @Override
+  /** The head of the final answer. */
   void head(HttpResponse reply) {
     report = Reports.read(reply.headers().get(Reports.HEADER));
     int status = reply.status().code();
-    if (status == 200) {
+    HttpProtocol protocol = wire().protocol;
+    if (status == 200 || protocol.passAll() && status < 500) {
       if (!mayHaveRun()) {
         finish(Result.CONNECT_FAILED); // no host can serve what it has not been sent
-      } else if (!framed(reply)) {
+      } else if (!framed(reply, protocol.maxAnswer())) {
         broken();
       } else {
         head = reply;
@@ -93,9 +63,13 @@
     }
     boolean turnedAway =
         (status == 503 || status == 504) && "1".equals(reply.headers().get("X-Not-Processed"));
-    connection().discardRest();
+    wire().discardRest();
     if (status >= 400 && status < 500) {
-      exchange.faulted(status);
+      // A host found fault with the request itself. Guards against a client's mistake that counts
+      // against the host, or is carried on to the next one: the answer is the client's.
+      if (exchange.claim()) {
+        call.answer(status);
+      }
       finish(Result.CANCELLED);
     } else {
       finish(turnedAway ? Result.FULL : mayHaveRun() ? Result.ERROR : Result.CONNECT_FAILED);
@@ -103,72 +77,71 @@
   }
 
   /** Whether the end of the answer can be told from its connection's, and it is no longer than any. */
-  private static boolean framed(HttpResponse reply) {
+  private boolean framed(HttpResponse reply, int maxAnswer) {
     HttpHeaders h = reply.headers();
+    int status = reply.status().code();
+    if (wire().expectsNoBody() || status == 204 || status == 304) {
+      return true;
+    }
     boolean chunked = h.contains(HttpHeaderNames.TRANSFER_ENCODING);
     boolean sized = h.contains(HttpHeaderNames.CONTENT_LENGTH);
     return chunked != sized
         && (!chunked || HttpUtil.isTransferEncodingChunked(reply))
-        && HttpUtil.getContentLength(reply, 0L) <= RequestCheck.MAX_BODY;
+        && HttpUtil.getContentLength(reply, 0L) <= maxAnswer;
   }
 
-  @Override
+  /** Part of the answer's body. */
   void content(HttpContent part) {
     int n = part.content().readableBytes();
     if (n == 0) {
       return;
     }
     if (body == null) {
-      body = dispatcher.newBody(length, false);
+      body = dispatcher().newBody(length, false);
     }
-    if (body.size() + n > RequestCheck.MAX_BODY) {
+    if (body.size() + n > wire().protocol.maxAnswer()) {
       broken(); // no answer is so long: this one would never end
       return;
     }
     body.append(part.content());
-    if (dispatcher.budget().full(body.size())) {
+    if (dispatcher().budget().full(body.size())) {
       connection().channel().config().setAutoRead(false);
-      dispatcher.budget().await(resume);
+      dispatcher().budget().await(resume);
     }
   }
 
   /** Memory is free again. */
   private void resumeReading() {
-    if (!over && connection() != null) {
+    if (!over() && connection() != null) {
       connection().channel().config().setAutoRead(true);
     }
   }
 
-  @Override
+  /** The answer is whole. */
   void end() {
     Body whole = body;
     body = null;
-    exchange.served(head, whole);
+    if (exchange.claim()) {
+      call.served(head, whole);
+    } else if (whole != null) {
+      whole.free();
+    }
     finish(Result.OK);
   }
 
   /** A spoilt answer: a failed attempt that may have run, and whose report is as good as it is. */
   @Override
-  void broken() {
+  protected void broken() {
     report = null;
-    finish(Result.RESET);
+    super.broken();
   }
 
-  private void finish(Result result) {
-    if (over) {
-      return;
-    }
-    over = true;
-    host.calls--;
-    if (giveUp != null) {
-      giveUp.cancel(false);
-    }
-    dispatcher.budget().forget(resume);
+  @Override
+  protected void release() {
+    dispatcher().budget().forget(resume);
     if (body != null) {
       body.free();
       body = null;
     }
-    dispatcher.upstreams().end(this);
-    exchange.attemptEnded(this, result, dispatcher.now() - sentAt, report);
   }
 }
--- /dev/null
+++ b/src/main/java/corkproxy/http/HttpProtocol.java
@@ -0,0 +1,32 @@
+package corkproxy.http;
+
+import corkproxy.engine.Host;
+import corkproxy.engine.Protocol;
+import corkproxy.engine.UpstreamChannel;
+import corkproxy.engine.UpstreamConnection;
+import corkproxy.engine.Upstreams;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+
+/**
+ * HTTP/1.1 to the hosts of a pool.
+ *
+ * @param maxAnswer bytes of an answer's body; a longer one is spoilt
+ * @param passAll whether any answer below 500 is served as it is; else only a 200 is, and a host's
+ *     4xx is told to the client without its body
+ */
+public record HttpProtocol(int maxAnswer, boolean passAll) implements Protocol {
+  /** Hosts as the platform's protocol has them. */
+  public static final HttpProtocol PLATFORM = new HttpProtocol(64 * 1024, false);
+
+  static final HttpDecoderConfig DECODER = new HttpDecoderConfig().setMaxInitialLineLength(8_192)
+      .setMaxHeaderSize(16_384).setMaxChunkSize(16_384).setInitialBufferSize(256);
+
+  @Override
+  public UpstreamConnection open(Upstreams pool, Host host, UpstreamChannel channel) {
+    HttpUpstreamConnection.Decoder decoder = new HttpUpstreamConnection.Decoder(DECODER);
+    HttpUpstreamConnection c = new HttpUpstreamConnection(pool, host, channel, decoder, this);
+    channel.pipeline().addLast(decoder, new HttpRequestEncoder(), c);
+    return c;
+  }
+}
--- a/src/main/java/corkproxy/proxy/Reports.java
+++ b/src/main/java/corkproxy/http/Reports.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package corkproxy.http;
 
 import corkproxy.balancer.LoadReport;
 
--- /dev/null
+++ b/src/main/java/corkproxy/http/Verdict.java
@@ -0,0 +1,42 @@
+package corkproxy.http;
+
+import corkproxy.balancer.Arrival;
+import corkproxy.engine.Dispatcher;
+import corkproxy.engine.Fallback;
+
+/**
+ * What a {@link Gate} makes of a request's head.
+ *
+ * @param status the status to answer with, or 0 to take the request
+ * @param closes whether that answer also ends the connection, whatever of the request is to come
+ * @param retryAfterMs advice that goes with the answer, or 0
+ * @param target the pool that takes the request
+ * @param arrival the request as it arrives there; its id is of no account
+ * @param fallback what may take it up after that pool, or null
+ * @param done run once when the request has its final answer, or is dropped before
+ */
+public record Verdict(
+    int status,
+    boolean closes,
+    double retryAfterMs,
+    Dispatcher target,
+    Arrival arrival,
+    Fallback fallback,
+    Runnable done) {
+  private static final Runnable NOTHING = () -> {};
+
+  /** What can't be a request: an error, and the end of the connection. */
+  public static Verdict reject(int status) {
+    return new Verdict(status, true, 0, null, null, null, NOTHING);
+  }
+
+  /** A sound request that gets an answer of ours, after which its connection goes on. */
+  public static Verdict answer(int status, double retryAfterMs) {
+    return new Verdict(status, false, retryAfterMs, null, null, null, NOTHING);
+  }
+
+  /** A request for this pool. */
+  public static Verdict take(Dispatcher target, Arrival arrival, Fallback fallback, Runnable done) {
+    return new Verdict(0, false, 0, target, arrival, fallback, done == null ? NOTHING : done);
+  }
+}
--- a/src/main/java/corkproxy/proxy/Config.java
+++ b/src/main/java/corkproxy/proxy/Config.java
@@ -6,11 +6,10 @@
 import corkproxy.adapter.MalformedInputException;
 import corkproxy.adapter.SettingsReader;
 import corkproxy.balancer.Settings;
-import io.netty.util.NetUtil;
+import corkproxy.engine.Addresses;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
@@ -100,27 +99,10 @@
   }
 
   private static InetSocketAddress address(String s, String what) throws ConfigException {
-    InetSocketAddress a = address(s);
+    InetSocketAddress a = Addresses.parse(s);
     if (a == null) {
       throw new ConfigException(what + " is not IP:port: '" + s + "'");
     }
     return a;
   }
-
-  /** An {@code IP:port}, or null if it is none; names are not looked up: there is no DNS. */
-  static InetSocketAddress address(String s) {
-    int colon = s.lastIndexOf(':');
-    byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(s.substring(0, colon));
-    if (ip == null) {
-      return null;
-    }
-    try {
-      int port = Integer.parseInt(s.substring(colon + 1));
-      return port < 0 || port > 65_535
-          ? null
-          : new InetSocketAddress(InetAddress.getByAddress(ip), port);
-    } catch (NumberFormatException | UnknownHostException e) {
-      return null;
-    }
-  }
 }
--- a/src/main/java/corkproxy/proxy/Discovery.java
+++ b/src/main/java/corkproxy/proxy/Discovery.java
@@ -2,7 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import corkproxy.balancer.HostEntry;
 import corkproxy.balancer.News;
+import corkproxy.engine.Addresses;
+import corkproxy.engine.Dispatcher;
+import corkproxy.engine.Hosts;
+import corkproxy.engine.Log;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -29,7 +34,9 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -91,10 +98,10 @@
   void start(JsonNode known) {
     Hosts.News news;
     try {
-      news = dispatcher.hosts().read(known);
+      news = read(known);
       version = news.version();
     } catch (IllegalArgumentException e) {
-      news = new Hosts.News(0, true, java.util.List.of(), java.util.List.of());
+      news = new Hosts.News(0, true, List.of());
     }
     dispatcher.start(news, this::open);
     if (!asked) {
@@ -143,6 +150,43 @@
     }
   }
 
+  /**
+   * Reads a list in discovery's form.
+   *
+   * @throws IllegalArgumentException if it is not of that form; nothing has been changed then
+   */
+  private static Hosts.News read(JsonNode list) {
+    JsonNode servers = list.path("servers");
+    if (!list.isObject() || !servers.isArray() || !list.path("version").canConvertToLong()) {
+      throw new IllegalArgumentException("not a list with version and servers");
+    }
+    List<Hosts.Member> members = new ArrayList<>(servers.size());
+    for (JsonNode s : servers) {
+      String name = s.path("id").asText("");
+      InetSocketAddress address = Addresses.parse(s.path("addr").asText(""));
+      HostEntry.Condition condition =
+          switch (s.path("state").asText("")) {
+            case "up" -> HostEntry.Condition.READY;
+            case "removed" -> HostEntry.Condition.GONE;
+            default -> HostEntry.Condition.TERMINATING; // nothing new goes to a state not known
+          };
+      if (name.isEmpty() || (address == null && condition == HostEntry.Condition.READY)) {
+        throw new IllegalArgumentException("an entry without id or address");
+      }
+      members.add(
+          new Hosts.Member(
+              name,
+              address,
+              s.path("zone").asText(""),
+              s.path("kind").asText(""),
+              s.path("cell").asLong(0),
+              condition,
+              s.path("weight").asDouble(1),
+              s.path("started_ms").asDouble(0)));
+    }
+    return new Hosts.News(list.path("version").asLong(), list.path("full").asBoolean(), members);
+  }
+
   private void retry() {
     if (asked) {
       dispatcher.followFailed(); // the module decides when to ask again
@@ -269,7 +313,7 @@
       if (!blank) {
         Hosts.News news;
         try {
-          news = dispatcher.hosts().read(JSON.readTree(line, 0, length));
+          news = read(JSON.readTree(line, 0, length));
         } catch (IOException | IllegalArgumentException e) {
           // The last good list stays; what the line was to tell comes again from its version on.
           log.line("watch: malformed line: " + e.getMessage());
--- /dev/null
+++ b/src/main/java/corkproxy/proxy/PlatformGate.java
@@ -0,0 +1,119 @@
+package corkproxy.proxy;
+
+import corkproxy.balancer.Arrival;
+import corkproxy.balancer.Settings;
+import corkproxy.engine.Dispatcher;
+import corkproxy.http.Framing;
+import corkproxy.http.Gate;
+import corkproxy.http.Verdict;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What has to hold of a request of the platform's before anything of it is taken. Guards hosts
+ * against what is of no use to them, and the module against names that clients make up. It does
+ * harm to a client that strays from the protocol without need: it gets an error of its own.
+ */
+final class PlatformGate implements Gate {
+  private static final int MAX_ID = 128;
+  private static final int MAX_DIGITS = 9;
+  private static final String HEALTH = "/_health";
+
+  private final Dispatcher pool;
+  private final Map<String, Settings.RequestClass> types = new HashMap<>();
+  private boolean draining;
+
+  PlatformGate(Dispatcher pool, Settings settings) {
+    this.pool = pool;
+    for (Settings.RequestClass c : settings.classes()) {
+      types.put(c.name(), c);
+    }
+  }
+
+  void drain() {
+    draining = true;
+  }
+
+  @Override
+  public boolean ready() {
+    return !draining && pool.anySendable();
+  }
+
+  @Override
+  public Verdict judge(HttpRequest request, InetSocketAddress client) {
+    if (request.uri().equals(HEALTH)) {
+      return request.method().equals(HttpMethod.GET)
+          ? Verdict.answer(ready() ? 200 : 503, 0)
+          : Verdict.reject(405);
+    }
+    HttpHeaders h = request.headers();
+    String id = Framing.single(h, "X-Request-ID");
+    if (id == null || id.isBlank() || id.length() > MAX_ID) {
+      return Verdict.reject(400);
+    }
+    String name = className(request.uri());
+    if (h.contains("X-Priority-Class") && !name.equals(Framing.single(h, "X-Priority-Class"))) {
+      return Verdict.reject(400);
+    }
+    Settings.RequestClass type = types.get(name);
+    if (type == null) {
+      return Verdict.reject(404);
+    }
+    boolean safe = type.semantics() == Settings.Semantics.IDEMPOTENT;
+    if (!request.method().equals(safe ? HttpMethod.GET : HttpMethod.POST)) {
+      return Verdict.reject(405);
+    }
+    String key = Framing.single(h, "Idempotency-Key");
+    if (type.semantics() == Settings.Semantics.DEDUPLICATED && (key == null || key.isBlank())) {
+      return Verdict.reject(400);
+    }
+    double timeout = type.deadline();
+    if (h.contains("X-Timeout-Ms")) {
+      timeout = Math.min(timeout, whole(Framing.single(h, "X-Timeout-Ms")));
+    }
+    if (Double.isNaN(timeout)) {
+      return Verdict.reject(400);
+    }
+    Arrival arrival =
+        new Arrival(
+            0,
+            name,
+            h.get("X-Tenant-Id"),
+            timeout,
+            estimate(h.get("X-Cost")),
+            "1".equals(h.get("X-Retried")));
+    return Verdict.take(pool, arrival, null, null);
+  }
+
+  /** The work expected, which clients state in microseconds and the module takes in ms. */
+  private static double estimate(String s) {
+    try {
+      double us = s == null ? Double.NaN : Double.parseDouble(s.trim());
+      return us >= 0 && Double.isFinite(us) ? us / 1_000 : Double.NaN;
+    } catch (NumberFormatException e) {
+      return Double.NaN;
+    }
+  }
+
+  /** The first part of the path. */
+  private static String className(String path) {
+    int from = path.startsWith("/") ? 1 : 0;
+    int to = from;
+    while (to < path.length() && path.charAt(to) != '/' && path.charAt(to) != '?') {
+      to++;
+    }
+    return path.substring(from, to);
+  }
+
+  /** A whole number that is not negative, or NaN; what does not fit is more than anyone waits. */
+  private static double whole(String s) {
+    if (s == null || s.isEmpty() || !s.chars().allMatch(c -> c >= '0' && c <= '9')) {
+      return Double.NaN;
+    }
+    return s.length() > MAX_DIGITS ? Double.MAX_VALUE : Integer.parseInt(s);
+  }
+}
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -1,5 +1,13 @@
 package corkproxy.proxy;
 
+import corkproxy.engine.BodyBudget;
+import corkproxy.engine.Dispatcher;
+import corkproxy.engine.Log;
+import corkproxy.engine.Sockets;
+import corkproxy.engine.Upstreams;
+import corkproxy.http.Front;
+import corkproxy.http.FrontSettings;
+import corkproxy.http.HttpProtocol;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -37,6 +45,7 @@
   private final Config config;
   private final MultiThreadIoEventLoopGroup group;
   private final EventLoop loop;
+  private final PlatformGate gate;
   private final Front front;
   private final Dispatcher dispatcher;
   private final Discovery discovery;
@@ -57,9 +66,14 @@
     long bodies =
         Math.max(LEAST_BODIES_MB, Math.min(MOST_BODIES_MB, config.memoryMb() - BASE_MB));
     BodyBudget budget = new BodyBudget(bodies << 20);
-    Upstreams upstreams = new Upstreams(group, config, sockets, log);
-    this.dispatcher = new Dispatcher(loop, config, upstreams, budget, log);
-    this.front = new Front(dispatcher, config, sockets, budget, log);
+    Upstreams upstreams =
+        new Upstreams(
+            group, HttpProtocol.PLATFORM, config.connIdle(), config.connectTimeout(), sockets, log);
+    this.dispatcher =
+        new Dispatcher(loop, config.settings(), config.seed(), upstreams, budget, log);
+    this.gate = new PlatformGate(dispatcher, config.settings());
+    this.front =
+        new Front(FrontSettings.platform(config.maxOpen()), gate, sockets, budget, log);
     this.discovery = new Discovery(group, config, dispatcher, log);
   }
 
@@ -100,7 +114,7 @@
   void start() throws ConfigException {
     try {
       loop.submit(() -> discovery.start(config.known())).sync();
-      front.listen(group, config);
+      front.listen(group, config.listen());
     } catch (Exception e) {
       group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
       if (e instanceof BindException || e instanceof SocketException) {
@@ -171,6 +185,7 @@
           acceptUntil = now + ACCEPT_MS * 1_000_000;
           drainUntil = now + (long) ((longest + LAST_MS) * 1e6);
           log.line("draining");
+          gate.drain();
           front.drain();
           pollDrain();
         });
--- a/src/main/java/corkproxy/proxy/Rehearsal.java
+++ b/src/main/java/corkproxy/proxy/Rehearsal.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import corkproxy.balancer.Settings;
+import corkproxy.engine.Log;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/test/java/corkproxy/proxy/RehearsalTest.java
+++ b/src/test/java/corkproxy/proxy/RehearsalTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import corkproxy.engine.Log;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -1,5 +1,6 @@
 package corkproxy.proxy;
 
+import corkproxy.engine.Log;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
