--- a/src/main/java/corkproxy/Main.java
+++ b/src/main/java/corkproxy/Main.java
@@ -13,7 +13,8 @@
   /**
    * Runs {@code proxy}, a client proxy on sockets, or {@code adapter}, the same decisions on the
    * simulator's wire on standard input and output. The build runs {@code rehearse}, a client proxy
-   * for a moment, so that the JVM can archive the classes it takes.
+   * for a moment, so that the JVM can archive the classes it takes. Everything else is the command
+   * line of {@code cli}, whose libraries the three above never load.
    */
   public static void main(String[] args) throws IOException {
     String command = args.length == 1 ? args[0] : "";
@@ -22,14 +23,18 @@
         case "proxy" -> Proxy.run(System.getenv());
         case "rehearse" -> Proxy.rehearse();
         case "adapter" -> new Adapter(System.in, System.out, System.err).run();
-        default -> {
-          System.err.println("usage: java -jar corkproxy.jar proxy|adapter");
-          System.exit(2);
-        }
+        default -> System.exit(CommandLineStart.run(args));
       }
     } catch (MalformedInputException | ConfigException e) {
       System.err.println("corkproxy: " + e.getMessage());
       System.exit(1);
     }
   }
+
+  /** Guards the platform's process against classes that it has no use for. */
+  private static final class CommandLineStart {
+    static int run(String[] args) {
+      return corkproxy.cli.Corkproxy.run(args);
+    }
+  }
 }
--- a/src/main/java/corkproxy/balancer/Settings.java
+++ b/src/main/java/corkproxy/balancer/Settings.java
@@ -23,6 +23,13 @@
     balancers = Math.max(1, balancers);
   }
 
+  /** The same for the instance at this position of the tier. */
+  public Settings at(int place) {
+    return new Settings(
+        classes, tenants, limits, rules, fees, mustFollow, zone, place, balancers, overShareWorth,
+        worthByWork);
+  }
+
   /** The shortest aim: the pace of the deployment, by which the module's times are measured. */
   public double pace() {
     return classes.stream().mapToDouble(RequestClass::aim).min().orElse(400);
--- /dev/null
+++ b/src/main/java/corkproxy/cli/DaemonCommand.java
@@ -0,0 +1,63 @@
+package corkproxy.cli;
+
+import corkproxy.daemon.Daemon;
+import corkproxy.daemon.FaultyFileException;
+import corkproxy.engine.Log;
+import corkproxy.engine.Signals;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(
+    name = "daemon",
+    mixinStandardHelpOptions = true,
+    description = "Runs the daemon by the operator's file, until SIGTERM has been carried out.",
+    footer = {
+      "",
+      "SIGHUP reads the file again: the whole of it comes into force, or nothing.",
+      "Exit status: 0 drained, 2 the file is faulty or a listener can't be had."
+    })
+final class DaemonCommand implements Callable<Integer> {
+  @Option(names = "--config", required = true, paramLabel = "FILE", description = "The operator's file.")
+  private Path file;
+
+  @Override
+  public Integer call() throws InterruptedException {
+    Log log = new Log(System.err);
+    Daemon daemon;
+    try {
+      daemon = new Daemon(file, log);
+    } catch (FaultyFileException e) {
+      System.err.println(e.getMessage());
+      return 2;
+    }
+    if (!Signals.onHangup(() -> reload(daemon))) {
+      log.line("SIGHUP can't be handled here: a new file needs a restart");
+    }
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  daemon.drain();
+                  try {
+                    daemon.awaitEnd();
+                  } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                  }
+                  // An exit by SIGTERM is status 143 to the JVM, and a drain that is done is a success.
+                  Runtime.getRuntime().halt(0);
+                },
+                "drain"));
+    log.line("ready");
+    daemon.awaitEnd();
+    return 0;
+  }
+
+  /** On a thread of its own: the JVM's signal thread must stay free for the next signal. */
+  private static void reload(Daemon daemon) {
+    Thread t = new Thread(daemon::reload, "reload");
+    t.setDaemon(true);
+    t.start();
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/cli/StandInCommand.java
@@ -0,0 +1,72 @@
+package corkproxy.cli;
+
+import corkproxy.standin.HttpStandIn;
+import corkproxy.standin.Ledger;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(
+    name = "standin",
+    mixinStandardHelpOptions = true,
+    description = "Runs an HTTP host on loopback that can be made to misbehave, for trials.",
+    footer = {"", "Exit status: 0 at its end, 2 for faulty arguments."})
+final class StandInCommand implements Callable<Integer> {
+  private static final int LEDGER = 1_000_000;
+
+  @Option(names = "--port", defaultValue = "0", description = "Port on 127.0.0.1; 0 takes any.")
+  private int port;
+
+  @Option(names = "--name", defaultValue = "standin", description = "The host's name.")
+  private String name;
+
+  @Option(names = "--service-ms", defaultValue = "5", description = "Mean time of a request (ms); 0 answers at once.")
+  private double serviceMs;
+
+  @Option(names = "--cores", defaultValue = "3", description = "Requests that run at once.")
+  private int cores;
+
+  @Option(names = "--queue", defaultValue = "100", description = "Requests that wait at most.")
+  private int queue;
+
+  @Option(names = "--warm-up-ms", defaultValue = "0", description = "Time to full speed (ms).")
+  private double warmUpMs;
+
+  @Option(names = "--start-capacity", defaultValue = "0.3", description = "Part of its speed at the start.")
+  private double startCapacity;
+
+  @Option(names = "--max-connections", defaultValue = "10000", description = "Connections it holds.")
+  private int maxConnections;
+
+  @Option(names = "--reports", description = "Tell its load in X-Server-Load.")
+  private boolean reports;
+
+  @Option(names = "--body-bytes", defaultValue = "64", description = "Length of an answer.")
+  private int bodyBytes;
+
+  @Option(names = "--fault", defaultValue = "none", description = "${COMPLETION-CANDIDATES}.")
+  private HttpStandIn.Fault fault;
+
+  @Option(names = "--fault-share", defaultValue = "1", description = "Part of requests that meet the fault.")
+  private double share;
+
+  @Option(names = "--seconds", defaultValue = "0", description = "Ends after so long; 0 with SIGTERM.")
+  private double seconds;
+
+  @Override
+  public Integer call() throws InterruptedException {
+    Ledger ledger = new Ledger(LEDGER);
+    HttpStandIn.Options o =
+        new HttpStandIn.Options(
+            name, "p1", port, serviceMs, cores, queue, warmUpMs, startCapacity, maxConnections,
+            reports, bodyBytes, 1);
+    try (HttpStandIn host = new HttpStandIn(o, ledger)) {
+      host.misbehave(fault, share);
+      System.out.println(host.name() + " at " + host.place());
+      Thread.sleep(seconds > 0 ? (long) (seconds * 1e3) : Long.MAX_VALUE);
+      System.out.println(
+          host.name() + ": " + ledger.executions() + " ran, " + ledger.repeated().size() + " more than once");
+    }
+    return 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/daemon/Daemon.java
@@ -0,0 +1,269 @@
+package corkproxy.daemon;
+
+import corkproxy.engine.Log;
+import corkproxy.engine.Upstreams;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The daemon from its start to its drain. Workers share nothing but limits and budgets; one loop
+ * accepts and hands each connection to the next worker in turn, so that each has an equal number.
+ *
+ * <pre>
+ *   file -> OperatorFile -> DaemonConfig -> Version --+--> Worker 1: fronts, pools, module instances
+ *                                                     +--> Worker 2 ...
+ * </pre>
+ *
+ * <p>A reload judges the file, binds what is new and only then puts the version in force on every
+ * worker; a fault anywhere before leaves all as it was.
+ */
+public final class Daemon implements AutoCloseable {
+  private static final int BACKLOG = 1_024;
+  private static final long POLL_MS = 10;
+
+  /**
+   * How long (ms) a socket that goes is still accepted from. Guards against clients that connected
+   * and sent before they could know: closing at once would reset them in the backlog.
+   */
+  static final long LAST_ACCEPT_MS = 500;
+
+  private final Path file;
+  private final Log log;
+  private final MultiThreadIoEventLoopGroup acceptor;
+  private final MultiThreadIoEventLoopGroup group;
+  private final Map<EventLoop, Worker> workers = new LinkedHashMap<>();
+  private final Map<String, Bound> bound = new HashMap<>();
+  private final CountDownLatch ended = new CountDownLatch(1);
+  private Version version;
+  private boolean draining;
+
+  /** A listener's socket; {@code asked} is the address in the file. */
+  private record Bound(InetSocketAddress asked, Channel channel) {}
+
+  /**
+   * Starts a daemon by this file.
+   *
+   * @throws FaultyFileException if the file is faulty, or a listener's address can't be had
+   */
+  public Daemon(Path file, Log log) throws FaultyFileException {
+    this(file, OperatorFile.read(file), log, System.nanoTime());
+  }
+
+  Daemon(Path file, DaemonConfig config, Log log, long seed) throws FaultyFileException {
+    this.file = file;
+    this.log = log;
+    this.acceptor =
+        new MultiThreadIoEventLoopGroup(
+            1, new DefaultThreadFactory("accept", true), NioIoHandler.newFactory());
+    this.group =
+        new MultiThreadIoEventLoopGroup(
+            config.process().workers(),
+            new DefaultThreadFactory("worker", true),
+            NioIoHandler.newFactory());
+    for (int i = 0; i < config.process().workers(); i++) {
+      EventLoop loop = (EventLoop) group.next();
+      workers.put(loop, new Worker(loop, i, config.process(), seed + 1_000_003L * i, log));
+    }
+    try {
+      apply(config);
+    } catch (FaultyFileException e) {
+      close();
+      throw e;
+    }
+  }
+
+  /** Judges a file and does nothing else; throws what is wrong with it. */
+  public static void check(Path file) throws FaultyFileException {
+    OperatorFile.read(file);
+  }
+
+  /**
+   * Puts the file in force as it is now, the whole of it or nothing.
+   *
+   * @return whether it is in force; if not, the log tells every fault
+   */
+  public synchronized boolean reload() {
+    if (draining) {
+      return false;
+    }
+    try {
+      DaemonConfig next = OperatorFile.read(file);
+      DaemonConfig.Process was = version.config.process();
+      DaemonConfig.Process is = next.process();
+      if (is.workers() != was.workers()
+          || is.descriptors() != was.descriptors()
+          || is.bodyMemoryMb() != was.bodyMemoryMb()) {
+        log.line("workers, descriptors and body_memory_mb change with a restart only");
+      }
+      apply(next);
+      log.line("version " + version.number + " in force");
+      return true;
+    } catch (FaultyFileException e) {
+      for (Fault f : e.faults()) {
+        log.line("not taken: " + f);
+      }
+      return false;
+    }
+  }
+
+  private void apply(DaemonConfig config) throws FaultyFileException {
+    Map<String, Bound> fresh = bindNew(config);
+    Version next = new Version(config, version, System.currentTimeMillis());
+    List<Future<?>> applied = new ArrayList<>();
+    for (Worker w : workers.values()) {
+      applied.add(w.loop().submit(() -> w.apply(next)));
+    }
+    for (Future<?> f : applied) {
+      f.syncUninterruptibly();
+    }
+    version = next;
+    // Only now does the first connection of a new listener find a front on every worker.
+    bound.entrySet()
+        .removeIf(
+            e -> {
+              DaemonConfig.Listener l = config.listeners().get(e.getKey());
+              boolean gone = l == null || !l.address().equals(e.getValue().asked());
+              if (gone) {
+                closeLater(e.getValue().channel());
+              }
+              return gone;
+            });
+    bound.putAll(fresh);
+    fresh.values().forEach(b -> b.channel().config().setAutoRead(true));
+  }
+
+  private static void closeLater(Channel listener) {
+    listener.eventLoop().schedule(() -> listener.close(), LAST_ACCEPT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Binds every address that is not bound yet, or none. */
+  private Map<String, Bound> bindNew(DaemonConfig config) throws FaultyFileException {
+    Map<String, Bound> fresh = new HashMap<>();
+    List<Fault> faults = new ArrayList<>();
+    for (DaemonConfig.Listener l : config.listeners().values()) {
+      Bound b = bound.get(l.name());
+      if (b != null && b.asked().equals(l.address())) {
+        continue;
+      }
+      ChannelFuture f = bind(l).awaitUninterruptibly();
+      if (f.isSuccess()) {
+        fresh.put(l.name(), new Bound(l.address(), f.channel()));
+      } else {
+        faults.add(
+            new Fault(
+                file.toString(),
+                0,
+                "listener." + l.name() + ".address",
+                f.cause().getMessage(),
+                "an address that can be listened on"));
+      }
+    }
+    if (!faults.isEmpty()) {
+      fresh.values().forEach(b -> b.channel().close());
+      throw new FaultyFileException(faults);
+    }
+    return fresh;
+  }
+
+  private ChannelFuture bind(DaemonConfig.Listener l) {
+    return new ServerBootstrap()
+        .group(acceptor, group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .option(ChannelOption.AUTO_READ, false)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, Upstreams.READS)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Upstreams.MARKS)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel ch) {
+                workers.get(ch.eventLoop()).accepted(l.name(), ch);
+              }
+            })
+        .bind(l.address());
+  }
+
+  /** Where the listener of that name is bound, or null. */
+  public synchronized InetSocketAddress address(String listener) {
+    Bound b = bound.get(listener);
+    return b == null ? null : (InetSocketAddress) b.channel().localAddress();
+  }
+
+  /** The number of the version in force, from 1. */
+  public synchronized long version() {
+    return version.number;
+  }
+
+  /** Begins the end: new connections for half a second more, all that was taken is answered. */
+  public synchronized void drain() {
+    if (draining) {
+      return;
+    }
+    draining = true;
+    log.line("draining");
+    bound.values().forEach(b -> closeLater(b.channel()));
+    workers.values().forEach(w -> w.loop().execute(w::drain));
+    long until = System.nanoTime() + version.config.process().drainMs() * 1_000_000L;
+    acceptor.next().schedule(() -> pollDrain(until), LAST_ACCEPT_MS + POLL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void pollDrain(long until) {
+    CompletableFuture<?>[] asked = new CompletableFuture<?>[workers.size()];
+    boolean[] busy = new boolean[workers.size()];
+    int i = 0;
+    for (Worker w : workers.values()) {
+      int at = i++;
+      asked[at] = CompletableFuture.runAsync(() -> busy[at] = w.busy(), w.loop());
+    }
+    CompletableFuture.allOf(asked)
+        .whenComplete(
+            (x, failure) -> {
+              boolean any = false;
+              for (boolean b : busy) {
+                any |= b;
+              }
+              boolean late = System.nanoTime() >= until;
+              if (any && !late) {
+                acceptor.next().schedule(() -> pollDrain(until), POLL_MS, TimeUnit.MILLISECONDS);
+              } else {
+                log.line(any ? "drain cut short by its time" : "drained");
+                ended.countDown();
+              }
+            });
+  }
+
+  /** Waits until the drain is over. */
+  public void awaitEnd() throws InterruptedException {
+    ended.await();
+  }
+
+  /** Ends all at once. */
+  @Override
+  public void close() {
+    acceptor.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    ended.countDown();
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/daemon/DaemonConfig.java
@@ -0,0 +1,92 @@
+package corkproxy.daemon;
+
+import corkproxy.balancer.Settings;
+import corkproxy.engine.Hosts;
+import corkproxy.limits.Limit;
+import corkproxy.routing.PathForm;
+import corkproxy.routing.Rule;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+
+/** What the operator's file says, checked whole. Times are milliseconds. */
+record DaemonConfig(
+    Process process,
+    Map<String, Listener> listeners,
+    List<Settings.RequestClass> classes,
+    Map<String, Pool> pools,
+    List<Route> routes,
+    List<Limit> limits) {
+
+  /** The class of requests for which no class was declared. */
+  static final String DEFAULT_CLASS = "default";
+
+  /** The daemon as a whole. */
+  record Process(
+      int workers,
+      int drainMs,
+      int descriptors,
+      int bodyMemoryMb,
+      int limitKeys,
+      int instance,
+      int instances,
+      double retryRatio,
+      double retryBurst) {}
+
+  /** Where clients connect. */
+  record Listener(
+      String name,
+      InetSocketAddress address,
+      PathForm.Mode paths,
+      String classHeader,
+      String tenantHeader,
+      String healthPath,
+      int maxBody,
+      int slowMs,
+      int idleMs,
+      int maxOpen) {}
+
+  /** A pool of servers; {@code settings} is what its module is told. */
+  record Pool(
+      String name,
+      List<Hosts.Member> members,
+      Settings settings,
+      int maxAnswer,
+      double connIdle,
+      double connectTimeout,
+      double retryRatio,
+      double retryBurst) {
+
+    /** Whether the other one can take over what this one's module has learnt. */
+    boolean continues(Pool other) {
+      return settings.equals(other.settings)
+          && maxAnswer == other.maxAnswer
+          && connIdle == other.connIdle
+          && connectTimeout == other.connectTimeout;
+    }
+  }
+
+  /** A part of a route's traffic. */
+  record Share(String pool, double weight) {}
+
+  /** What is read from a request to keep its key on one side of a split. */
+  enum SplitBy {
+    KEY,
+    TENANT,
+    ADDRESS
+  }
+
+  /** What a route does with what it takes; {@code match} tells what that is. */
+  record Route(
+      String name,
+      List<String> listeners,
+      Rule<Integer> match,
+      String className,
+      List<Share> split,
+      SplitBy splitBy,
+      String splitHeader,
+      List<String> fallback,
+      String rewritePrefix,
+      Map<String, String> setHeaders,
+      List<String> removeHeaders) {}
+}
--- /dev/null
+++ b/src/main/java/corkproxy/daemon/DaemonGate.java
@@ -0,0 +1,274 @@
+package corkproxy.daemon;
+
+import corkproxy.balancer.Arrival;
+import corkproxy.balancer.Settings;
+import corkproxy.engine.Dispatcher;
+import corkproxy.engine.Fallback;
+import corkproxy.http.Framing;
+import corkproxy.http.Gate;
+import corkproxy.http.Verdict;
+import corkproxy.limits.Caller;
+import corkproxy.limits.Grant;
+import corkproxy.routing.PathForm;
+import corkproxy.routing.Rule;
+import corkproxy.routing.Split;
+import corkproxy.routing.Subject;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * From a request's head to the pool that takes it: path, host, class, route, limits, split. One
+ * listener's on one worker under one version. May refuse before any attempt; never sends.
+ */
+final class DaemonGate implements Gate {
+  /** A host name, or an address in brackets, with a port or none. */
+  private static final int MAX_HOST = 255;
+
+  private static final int MAX_DIGITS = 9;
+
+  private final Worker worker;
+  private final Version version;
+  private final DaemonConfig.Listener listener;
+  private final corkproxy.routing.RouteTable<Version.Target> routes;
+  private final View view = new View();
+  private final SplittableRandom random = new SplittableRandom();
+
+  DaemonGate(Worker worker, Version version, DaemonConfig.Listener listener) {
+    this.worker = worker;
+    this.version = version;
+    this.listener = listener;
+    this.routes = version.routes.get(listener.name());
+  }
+
+  /** The request at hand as routes see it; used anew for each, on one loop. */
+  private static final class View implements Subject {
+    private HttpRequest head;
+    private String host;
+    private String path;
+    private String className;
+
+    @Override
+    public String host() {
+      return host;
+    }
+
+    @Override
+    public String path() {
+      return path;
+    }
+
+    @Override
+    public String method() {
+      return head.method().name();
+    }
+
+    @Override
+    public String className() {
+      return className;
+    }
+
+    @Override
+    public String header(String name) {
+      return head.headers().get(name);
+    }
+  }
+
+  @Override
+  public boolean ready() {
+    return !worker.draining();
+  }
+
+  @Override
+  public Verdict judge(HttpRequest head, InetSocketAddress client) {
+    String uri = head.uri();
+    if (uri.equals(listener.healthPath())) {
+      return Verdict.answer(ready() ? 200 : 503, 0);
+    }
+    if (head.method().equals(HttpMethod.CONNECT)) {
+      return Verdict.reject(405);
+    }
+    int query = uri.indexOf('?');
+    PathForm path = PathForm.of(query < 0 ? uri : uri.substring(0, query), listener.paths());
+    String host = host(head.headers());
+    if (path == null || host == null || query >= 0 && !plain(uri, query)) {
+      return Verdict.reject(400);
+    }
+    view.head = head;
+    view.host = host;
+    view.path = path.match();
+    String claimed = head.headers().get(listener.classHeader());
+    view.className = claimed != null && version.classes.containsKey(claimed) ? claimed : null;
+    Rule<Version.Target> rule = routes.find(view);
+    if (rule == null) {
+      return Verdict.answer(404, 0);
+    }
+    return route(head, client, path, query < 0 ? "" : uri.substring(query), rule);
+  }
+
+  private Verdict route(
+      HttpRequest head,
+      InetSocketAddress client,
+      PathForm path,
+      String query,
+      Rule<Version.Target> rule) {
+    HttpHeaders h = head.headers();
+    DaemonConfig.Route route = rule.target().route();
+    String name =
+        !route.className().isEmpty()
+            ? route.className()
+            : view.className != null ? view.className : DaemonConfig.DEFAULT_CLASS;
+    Settings.RequestClass type = version.classes.get(name);
+    String key = Framing.single(h, "Idempotency-Key");
+    if (type.semantics() == Settings.Semantics.DEDUPLICATED && (key == null || key.isBlank())) {
+      return Verdict.answer(400, 0); // nothing tells its repeats apart
+    }
+    double timeout = type.deadline();
+    if (h.contains("X-Timeout-Ms")) {
+      timeout = Math.min(timeout, whole(Framing.single(h, "X-Timeout-Ms")));
+    }
+    if (!(timeout >= 1)) {
+      return Verdict.answer(400, 0);
+    }
+    String tenant = h.get(listener.tenantHeader(), "");
+    String address = client == null ? "" : client.getAddress().getHostAddress();
+    Grant grant =
+        version.limiter.acquire(
+            new Caller(listener.name(), route.name(), tenant, name, address), System.nanoTime());
+    if (grant.refusedBy() != null) {
+      return Verdict.answer(429, grant.retryAfterMs());
+    }
+    String pool = rule.target().split().pick(splitKey(route, h, tenant, address));
+    boolean safe = type.semantics() == Settings.Semantics.IDEMPOTENT;
+    Arrival arrival = new Arrival(0, name, tenant.isEmpty() ? null : tenant, timeout, Double.NaN, false);
+    Dispatcher target = take(pool);
+    if (target == null) {
+      grant.release();
+      return Verdict.answer(503, 0);
+    }
+    rewrite(head, route, rule, path, query);
+    return Verdict.take(
+        target, arrival, fallback(route.fallback(), 0, pool, arrival, safe), grant::release);
+  }
+
+  /** The worker's pool, which counts what comes to it. */
+  private Dispatcher take(String pool) {
+    Version.Pool p = version.pools.get(pool);
+    p.retries().earn();
+    version.retries.earn();
+    return worker.pool(pool);
+  }
+
+  private Fallback fallback(
+      List<String> names, int from, String first, Arrival arrival, boolean safe) {
+    if (from >= names.size()) {
+      return null;
+    }
+    return mayHaveRun -> {
+      if (mayHaveRun && !safe) {
+        return null;
+      }
+      for (int i = from; i < names.size(); i++) {
+        Dispatcher d = names.get(i).equals(first) ? null : worker.pool(names.get(i));
+        if (d != null) {
+          return new Fallback.Next(d, arrival, fallback(names, i + 1, first, arrival, safe));
+        }
+      }
+      return null;
+    };
+  }
+
+  private long splitKey(DaemonConfig.Route route, HttpHeaders h, String tenant, String address) {
+    if (route.split().size() == 1) {
+      return 0;
+    }
+    String key =
+        switch (route.splitBy()) {
+          case KEY -> h.get(route.splitHeader());
+          case TENANT -> tenant.isEmpty() ? null : tenant;
+          case ADDRESS -> address;
+        };
+    return key == null ? random.nextLong() : Split.hash(key);
+  }
+
+  private void rewrite(
+      HttpRequest head,
+      DaemonConfig.Route route,
+      Rule<Version.Target> rule,
+      PathForm path,
+      String query) {
+    String forward = path.forward();
+    if (!route.rewritePrefix().isEmpty()) {
+      String rest = path.match().substring(rule.path().length());
+      String to = PathForm.ofPattern(route.rewritePrefix());
+      to = to.endsWith("/") && (rest.startsWith("/") || rest.isEmpty() && to.length() > 1)
+          ? to.substring(0, to.length() - 1) : to;
+      forward = PathForm.encode(to + rest);
+    }
+    head.setUri(forward + query);
+    HttpHeaders h = head.headers();
+    for (String name : route.removeHeaders()) {
+      h.remove(name);
+    }
+    for (Map.Entry<String, String> e : route.setHeaders().entrySet()) {
+      h.set(e.getKey(), e.getValue());
+    }
+  }
+
+  /** The host asked for in lower case without port or last dot, or null where it can't be one. */
+  private static String host(HttpHeaders headers) {
+    String h = Framing.single(headers, HttpHeaderNames.HOST);
+    if (h == null || h.length() > MAX_HOST) {
+      return null;
+    }
+    int end = h.length();
+    boolean upper = false;
+    boolean bracket = h.startsWith("[");
+    for (int i = 0; i < end; i++) {
+      char c = h.charAt(i);
+      if (c == ':' && (!bracket || h.charAt(i - 1) == ']')) {
+        for (int j = i + 1; j < h.length(); j++) {
+          if (h.charAt(j) < '0' || h.charAt(j) > '9') {
+            return null;
+          }
+        }
+        end = i;
+      } else if (c >= 'A' && c <= 'Z') {
+        upper = true;
+      } else if (!(c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '.' || c == '-' || c == '_'
+          || bracket && (c == '[' || c == ']' || c == ':'))) {
+        return null;
+      }
+    }
+    end -= end > 0 && h.charAt(end - 1) == '.' ? 1 : 0;
+    if (end == 0 || bracket && h.charAt(end - 1) != ']') {
+      return null;
+    }
+    String name = end == h.length() ? h : h.substring(0, end);
+    return upper ? name.toLowerCase(Locale.ROOT) : name;
+  }
+
+  private static boolean plain(String s, int from) {
+    for (int i = from; i < s.length(); i++) {
+      char c = s.charAt(i);
+      if (c <= ' ' || c == 0x7f || c == '#') {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** A whole number that is not negative, or NaN; what does not fit is more than anyone waits. */
+  private static double whole(String s) {
+    if (s == null || s.isEmpty() || !s.chars().allMatch(c -> c >= '0' && c <= '9')) {
+      return Double.NaN;
+    }
+    return s.length() > MAX_DIGITS ? Double.MAX_VALUE : Integer.parseInt(s);
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/daemon/Version.java
@@ -0,0 +1,108 @@
+package corkproxy.daemon;
+
+import corkproxy.balancer.Settings;
+import corkproxy.engine.Hosts;
+import corkproxy.limits.Limiter;
+import corkproxy.limits.RetryBudget;
+import corkproxy.routing.RouteTable;
+import corkproxy.routing.Rule;
+import corkproxy.routing.Split;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One operator's file in force: immutable but for what limits and budgets count, and shared by all
+ * workers. A request is judged by one version and ends under it.
+ */
+final class Version {
+  /** A route as requests take it. */
+  record Target(DaemonConfig.Route route, Split<String> split) {}
+
+  /** A pool with its hosts as they are told to the modules. */
+  record Pool(DaemonConfig.Pool config, Hosts.News members, RetryBudget retries) {}
+
+  final long number;
+  final DaemonConfig config;
+  final Limiter limiter;
+  final RetryBudget retries;
+  final Map<String, Pool> pools = new HashMap<>();
+  final Map<String, RouteTable<Target>> routes = new HashMap<>();
+  final Map<String, Settings.RequestClass> classes = new HashMap<>();
+
+  /** {@code before} is the version that this one follows, or null; {@code unixMs} the time. */
+  Version(DaemonConfig config, Version before, double unixMs) {
+    this.number = before == null ? 1 : before.number + 1;
+    this.config = config;
+    this.limiter =
+        new Limiter(
+            config.limits(), config.process().limitKeys(), before == null ? null : before.limiter);
+    DaemonConfig.Process p = config.process();
+    boolean sameBudget =
+        before != null
+            && before.config.process().retryRatio() == p.retryRatio()
+            && before.config.process().retryBurst() == p.retryBurst();
+    this.retries = sameBudget ? before.retries : new RetryBudget(p.retryRatio(), p.retryBurst());
+    for (Settings.RequestClass c : config.classes()) {
+      classes.put(c.name(), c);
+    }
+    for (DaemonConfig.Pool pool : config.pools().values()) {
+      pools.put(pool.name(), pool(pool, before == null ? null : before.pools.get(pool.name()), unixMs));
+    }
+    List<Target> targets = new ArrayList<>();
+    for (DaemonConfig.Route r : config.routes()) {
+      targets.add(
+          new Target(
+              r,
+              new Split<>(
+                  r.split().stream()
+                      .map(s -> new Split.Part<>(s.pool(), s.weight(), s.pool()))
+                      .toList())));
+    }
+    for (String listener : config.listeners().keySet()) {
+      List<Rule<Target>> rules = new ArrayList<>();
+      for (Target t : targets) {
+        DaemonConfig.Route r = t.route();
+        if (r.listeners().isEmpty() || r.listeners().contains(listener)) {
+          Rule<Integer> m = r.match();
+          rules.add(
+              new Rule<>(
+                  m.name(), m.hosts(), m.kind(), m.path(), m.methods(), m.headers(), m.classes(), t));
+        }
+      }
+      routes.put(listener, new RouteTable<>(rules));
+    }
+  }
+
+  /**
+   * The pool's hosts with the times at which they started. Guards rule 4: a server that a new file
+   * names for the first time may be cold, so it is taken to have started now; one that stays keeps
+   * its time, and those of the first file have run for long.
+   */
+  private Pool pool(DaemonConfig.Pool pool, Pool before, double unixMs) {
+    Map<String, Hosts.Member> known = new HashMap<>();
+    if (before != null) {
+      before.members.members().forEach(m -> known.put(m.name(), m));
+    }
+    List<Hosts.Member> members = new ArrayList<>();
+    for (Hosts.Member m : pool.members()) {
+      Hosts.Member old = known.get(m.name());
+      double started =
+          old != null && old.address().equals(m.address())
+              ? old.startedUnixMs()
+              : number == 1 ? 0 : unixMs;
+      members.add(
+          new Hosts.Member(
+              m.name(), m.address(), m.zone(), m.kind(), m.cell(), m.condition(), m.weight(), started));
+    }
+    boolean sameBudget =
+        before != null
+            && before.config.retryRatio() == pool.retryRatio()
+            && before.config.retryBurst() == pool.retryBurst();
+    return new Pool(
+        pool,
+        new Hosts.News(number, true, members),
+        sameBudget ? before.retries : new RetryBudget(pool.retryRatio(), pool.retryBurst()));
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/daemon/Worker.java
@@ -0,0 +1,208 @@
+package corkproxy.daemon;
+
+import corkproxy.balancer.News;
+import corkproxy.engine.BodyBudget;
+import corkproxy.engine.Dispatcher;
+import corkproxy.engine.Log;
+import corkproxy.engine.Sockets;
+import corkproxy.engine.Upstreams;
+import corkproxy.http.Front;
+import corkproxy.http.FrontSettings;
+import corkproxy.http.HttpProtocol;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One event loop and all that is its own: the module instance and the connections of each pool, the
+ * clients of each listener, its part of the budgets. Everything here runs on that loop.
+ */
+final class Worker {
+  private static final long SWEEP_MS = 200;
+
+  /** A pool on this worker. */
+  private static final class WorkerPool {
+    final Dispatcher dispatcher;
+    Version.Pool version;
+
+    WorkerPool(Dispatcher dispatcher, Version.Pool version) {
+      this.dispatcher = dispatcher;
+      this.version = version;
+    }
+  }
+
+  /** A listener that has gone from the file, and until when (ns) its backlog may still tell of clients. */
+  private record Closing(String name, Front front, long until) {}
+
+  private final EventLoop loop;
+  private final int number;
+  private final Log log;
+  private final Sockets sockets;
+  private final BodyBudget budget;
+  private final Map<String, WorkerPool> pools = new HashMap<>();
+  private final List<WorkerPool> leaving = new ArrayList<>();
+  private final Map<String, Front> fronts = new HashMap<>();
+  private final List<Closing> closing = new ArrayList<>();
+  private long seeds;
+  private boolean draining;
+
+  /** A worker of so many; its part of the budgets is an equal one. */
+  Worker(EventLoop loop, int number, DaemonConfig.Process process, long seed, Log log) {
+    this.loop = loop;
+    this.number = number;
+    this.log = log;
+    this.seeds = seed;
+    this.sockets = new Sockets(process.descriptors() / process.workers());
+    this.budget = new BodyBudget(((long) process.bodyMemoryMb() << 20) / process.workers());
+    loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  /** Puts a version in force; pools and listeners that it keeps go on as they are. */
+  void apply(Version v) {
+    for (Iterator<Map.Entry<String, WorkerPool>> i = pools.entrySet().iterator(); i.hasNext(); ) {
+      Map.Entry<String, WorkerPool> e = i.next();
+      Version.Pool next = v.pools.get(e.getKey());
+      if (next == null || !next.config().continues(e.getValue().version.config())) {
+        i.remove();
+        leaving.add(e.getValue()); // what it has taken ends there
+      }
+    }
+    for (Version.Pool p : v.pools.values()) {
+      WorkerPool kept = pools.get(p.config().name());
+      if (kept == null) {
+        pools.put(p.config().name(), start(p));
+      } else {
+        if (!p.members().members().equals(kept.version.members().members())) {
+          kept.dispatcher.membership(News.FULL, p.members());
+        }
+        kept.version = p;
+      }
+      WorkerPool pool = pools.get(p.config().name());
+      pool.dispatcher.bound(() -> retryAllowed(v, p));
+    }
+    for (Iterator<Map.Entry<String, Front>> i = fronts.entrySet().iterator(); i.hasNext(); ) {
+      Map.Entry<String, Front> e = i.next();
+      DaemonConfig.Listener l = v.config.listeners().get(e.getKey());
+      if (l == null || !settings(l).equals(e.getValue().settings())) {
+        i.remove();
+        e.getValue().drain();
+        closing.add(
+            new Closing(
+                e.getKey(), e.getValue(), System.nanoTime() + 2 * Daemon.LAST_ACCEPT_MS * 1_000_000L));
+      }
+    }
+    for (DaemonConfig.Listener l : v.config.listeners().values()) {
+      DaemonGate gate = new DaemonGate(this, v, l);
+      Front front = fronts.get(l.name());
+      if (front == null) {
+        fronts.put(l.name(), new Front(settings(l), gate, sockets, budget, log));
+      } else {
+        front.gate(gate);
+      }
+    }
+  }
+
+  private static boolean retryAllowed(Version v, Version.Pool p) {
+    if (!p.retries().take()) {
+      return false;
+    }
+    if (!v.retries.take()) {
+      p.retries().giveBack();
+      return false;
+    }
+    return true;
+  }
+
+  private static FrontSettings settings(DaemonConfig.Listener l) {
+    return new FrontSettings(
+        l.maxBody(), l.slowMs(), Math.min(2_000, l.idleMs()), l.idleMs(), l.maxOpen(), false, true);
+  }
+
+  private WorkerPool start(Version.Pool p) {
+    DaemonConfig.Pool c = p.config();
+    Upstreams upstreams =
+        new Upstreams(
+            loop,
+            new HttpProtocol(c.maxAnswer(), true),
+            c.connIdle(),
+            c.connectTimeout(),
+            sockets,
+            log);
+    Dispatcher d =
+        new Dispatcher(
+            loop, c.settings().at(c.settings().position() + number), seeds++, upstreams, budget, log);
+    d.start(p.members(), () -> {});
+    return new WorkerPool(d, p);
+  }
+
+  /** The pool of that name, or null. */
+  Dispatcher pool(String name) {
+    WorkerPool p = pools.get(name);
+    return p == null ? null : p.dispatcher;
+  }
+
+  /** A connection that the listener has accepted. */
+  void accepted(String listener, SocketChannel ch) {
+    Front f = fronts.get(listener);
+    for (int i = closing.size() - 1; f == null && i >= 0; i--) {
+      f = closing.get(i).name().equals(listener) ? closing.get(i).front() : null;
+    }
+    if (f == null) {
+      ch.close();
+    } else {
+      f.accepted(ch);
+    }
+  }
+
+  boolean draining() {
+    return draining;
+  }
+
+  /** Answers what was taken and asks clients to leave. */
+  void drain() {
+    draining = true;
+    fronts.values().forEach(Front::drain);
+  }
+
+  /** Whether anything that was taken has no answer yet. */
+  boolean busy() {
+    return fronts.values().stream().anyMatch(Front::busy)
+        || closing.stream().anyMatch(c -> c.front().busy());
+  }
+
+  private void sweep() {
+    try {
+      for (WorkerPool p : pools.values()) {
+        p.dispatcher.sweep();
+      }
+      for (Iterator<WorkerPool> i = leaving.iterator(); i.hasNext(); ) {
+        WorkerPool p = i.next();
+        p.dispatcher.sweep();
+        if (p.dispatcher.open() == 0) {
+          p.dispatcher.close();
+          i.remove();
+        }
+      }
+      for (Front f : fronts.values()) {
+        f.sweep();
+      }
+      long now = System.nanoTime();
+      for (Closing c : closing) {
+        c.front().sweep();
+      }
+      closing.removeIf(c -> c.front().empty() && now > c.until());
+    } catch (RuntimeException e) {
+      // Guards against a periodic task that ends for ever with its first exception.
+      log.failure("upkeep failed", e);
+    }
+  }
+}
--- a/src/main/java/corkproxy/engine/Dispatcher.java
+++ b/src/main/java/corkproxy/engine/Dispatcher.java
@@ -195,6 +195,11 @@
     hosts.forgetGone();
   }
 
+  /** The pool is used no more: ends its connections, which carry nothing once none are open. */
+  public void close() {
+    upstreams.closeIdle(hosts.all());
+  }
+
   // --- actions
 
   @Override
@@ -250,6 +255,20 @@
 
   @Override
   public void log(String line) {
-    log.line(line);
+    log.line(named(line));
+  }
+
+  /** A line of the module's with the host's name in place of its number. */
+  private String named(String line) {
+    String[] words = line.split(" ", 3);
+    if (words.length == 3 && words[0].equals("host")) {
+      try {
+        Host h = hosts.get(Long.parseLong(words[1]));
+        return h == null ? line : "host " + h.name + " " + words[2];
+      } catch (NumberFormatException e) {
+        return line;
+      }
+    }
+    return line;
   }
 }
--- a/src/main/java/corkproxy/engine/Log.java
+++ b/src/main/java/corkproxy/engine/Log.java
@@ -2,7 +2,10 @@
 
 import java.io.PrintStream;
 
-/** Lines for the people on call, on standard error; at most so many a second, the rest is counted. */
+/**
+ * Lines for the people on call, on standard error; at most so many a second, the rest is counted. Safe
+ * for use by many threads.
+ */
 public final class Log {
   private static final int MAX_PER_SECOND = 50;
 
@@ -15,14 +18,14 @@
     this.out = out;
   }
 
-  public void line(String text) {
+  public synchronized void line(String text) {
     if (admits()) {
       out.println("corkproxy: " + text.replace('\n', ' ').replace('\r', ' '));
     }
   }
 
   /** A failure of our own code, with its stack. */
-  public void failure(String what, Throwable t) {
+  public synchronized void failure(String what, Throwable t) {
     if (admits()) {
       out.println("corkproxy: " + what);
       t.printStackTrace(out);
--- a/src/main/java/corkproxy/proxy/Signals.java
+++ b/src/main/java/corkproxy/engine/Signals.java
@@ -1,4 +1,4 @@
-package corkproxy.proxy;
+package corkproxy.engine;
 
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
@@ -8,14 +8,14 @@
  * source is a warning that can't be silenced, so it is reached by reflection and the build stays
  * strict everywhere.
  */
-final class Signals {
+public final class Signals {
   private Signals() {}
 
   /**
    * Runs {@code what}, on a thread of the JVM's, whenever SIGHUP comes. Guards against the default,
    * by which the JVM ends. False where the platform has no such signal.
    */
-  static boolean onHangup(Runnable what) {
+  public static boolean onHangup(Runnable what) {
     try {
       Class<?> signal = Class.forName("sun.misc.Signal");
       Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/src/main/java/corkproxy/engine/Upstreams.java
+++ b/src/main/java/corkproxy/engine/Upstreams.java
@@ -177,4 +177,13 @@
       }
     }
   }
+
+  /** Closes every connection on which nothing is carried. */
+  void closeIdle(Iterable<Host> hosts) {
+    for (Host h : hosts) {
+      for (UpstreamConnection c : new ArrayList<>(h.idle)) {
+        c.closeIdle();
+      }
+    }
+  }
 }
--- a/src/main/java/corkproxy/http/ClientConnection.java
+++ b/src/main/java/corkproxy/http/ClientConnection.java
@@ -352,7 +352,11 @@
     r.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     if (coolDownMs > 0) {
       r.headers()
-          .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", coolDownMs / 1_000));
+          .set(
+              HttpHeaderNames.RETRY_AFTER,
+              front.settings().daemon()
+                  ? Long.toString((long) Math.ceil(coolDownMs / 1_000))
+                  : String.format(Locale.ROOT, "%.3f", coolDownMs / 1_000));
     }
     markClose(r);
     answered(channel.writeAndFlush(r));
@@ -404,6 +408,7 @@
 
   /** Answers what can't be a request and ends the connection. */
   private void reject(int status) {
+    front.rejected(status, channel.remoteAddress());
     dropRequest();
     front.budget().forget(resume);
     paused = false;
--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -89,7 +89,17 @@
     ch.closeFuture().addListener(f -> sockets.clientClosed());
     ch.pipeline()
         .addLast(decoder, new HttpResponseEncoder(), new ClientConnection(this, ch, decoder));
-    makeRoom();
+    if (listener != null) {
+      makeRoom();
+    } else if (!sockets.roomForClient()) {
+      // Another accepts for many: what can make no room of its own is the newcomer.
+      ClientConnection c = mostDispensable();
+      if (c == null) {
+        ch.close();
+      } else {
+        c.close();
+      }
+    }
   }
 
   /**
@@ -102,9 +112,6 @@
     while (!sockets.roomForClient()) {
       ClientConnection c = mostDispensable();
       if (c == null) {
-        if (listener == null) {
-          return;
-        }
         if (listener.config().isAutoRead()) {
           listener.config().setAutoRead(false);
           listener.eventLoop().schedule(this::rested, REST_MS, TimeUnit.MILLISECONDS);
@@ -167,6 +174,18 @@
     return draining;
   }
 
+  /** Whether no client is connected. */
+  public boolean empty() {
+    return connections.isEmpty();
+  }
+
+  /** What can't be a request, told to the people on call at the log's bounded rate. */
+  void rejected(int status, Object client) {
+    if (settings.daemon()) {
+      log.line("turned away with " + status + ": a request from " + client);
+    }
+  }
+
   /** Whether anything that was taken, or is being taken, has no answer yet. */
   public boolean busy() {
     for (ClientConnection c : connections) {
@@ -193,7 +212,7 @@
     log.line("out of sockets: " + ++refusedForSockets + " requests refused unsent");
   }
 
-  FrontSettings settings() {
+  public FrontSettings settings() {
     return settings;
   }
 
--- a/src/main/java/corkproxy/http/FrontSettings.java
+++ b/src/main/java/corkproxy/http/FrontSettings.java
@@ -10,12 +10,20 @@
  * @param idleMostMs and at most
  * @param maxOpen requests that may be open in a pool at once
  * @param uniqueIds whether an {@code X-Request-ID} may be open only once
+ * @param daemon whether it is the daemon's: {@code Retry-After} is told in whole seconds (RFC 9110,
+ *     10.2.3), and what is turned away has a line in the log
  */
 public record FrontSettings(
-    int maxBody, long slowMs, long idleLeastMs, long idleMostMs, int maxOpen, boolean uniqueIds) {
+    int maxBody,
+    long slowMs,
+    long idleLeastMs,
+    long idleMostMs,
+    int maxOpen,
+    boolean uniqueIds,
+    boolean daemon) {
 
   /** Those of the platform's clients. */
   public static FrontSettings platform(int maxOpen) {
-    return new FrontSettings(64 * 1024, 2_100, 2_000, 6_000, maxOpen, true);
+    return new FrontSettings(64 * 1024, 2_100, 2_000, 6_000, maxOpen, true, false);
   }
 }
--- /dev/null
+++ b/src/main/java/corkproxy/limits/Caller.java
@@ -0,0 +1,17 @@
+package corkproxy.limits;
+
+/** Whom a request is counted for. {@code tenant} is "" where none was told. */
+public record Caller(
+    String listener, String route, String tenant, String className, String address) {
+
+  String value(Limit.By by) {
+    return switch (by) {
+      case ALL -> "";
+      case LISTENER -> listener;
+      case ROUTE -> route;
+      case TENANT -> tenant;
+      case CLASS -> className;
+      case ADDRESS -> address;
+    };
+  }
+}
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -3,6 +3,7 @@
 import corkproxy.engine.BodyBudget;
 import corkproxy.engine.Dispatcher;
 import corkproxy.engine.Log;
+import corkproxy.engine.Signals;
 import corkproxy.engine.Sockets;
 import corkproxy.engine.Upstreams;
 import corkproxy.http.Front;
--- /dev/null
+++ b/src/main/java/corkproxy/routing/RouteCheck.java
@@ -0,0 +1,81 @@
+package corkproxy.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Finds routes that can never win, by the order of precedence of {@link RouteTable}. */
+public final class RouteCheck {
+  /** A route that another one always beats. */
+  public record Shadowed(int route, int by) {}
+
+  private RouteCheck() {}
+
+  /**
+   * The routes of a listener that can't be reached, each with the one that wins in its place. Found
+   * are routes of one host and path of which one covers the conditions of another, and whatever
+   * stands behind a regular expression that takes every path. Regular expressions are not compared
+   * with each other beyond their text: whether one contains another is not told in linear time.
+   */
+  public static <T> List<Shadowed> shadowed(List<Rule<T>> rules) {
+    Map<String, List<Integer>> groups = new HashMap<>();
+    Map<String, List<Integer>> catchAll = new HashMap<>();
+    for (int i = 0; i < rules.size(); i++) {
+      Rule<T> r = rules.get(i);
+      for (String host : r.hosts()) {
+        groups.computeIfAbsent(group(host, r), k -> new ArrayList<>(1)).add(i);
+        if (r.takesAnyPath()) {
+          catchAll.computeIfAbsent(host, k -> new ArrayList<>(1)).add(i);
+        }
+      }
+    }
+    List<Shadowed> found = new ArrayList<>();
+    for (int i = 0; i < rules.size(); i++) {
+      int by = -1;
+      for (String host : rules.get(i).hosts()) {
+        by = winner(rules, i, groups.get(group(host, rules.get(i))));
+        if (by < 0) {
+          by = behind(rules, i, catchAll.getOrDefault(host, List.of()));
+        }
+        if (by < 0) {
+          break; // it can win for this host
+        }
+      }
+      if (by >= 0) {
+        found.add(new Shadowed(i, by));
+      }
+    }
+    return found;
+  }
+
+  private static String group(String host, Rule<?> r) {
+    return host + '\0' + r.kind() + '\0' + r.path();
+  }
+
+  private static <T> int winner(List<Rule<T>> rules, int i, List<Integer> group) {
+    Rule<T> r = rules.get(i);
+    for (int j : group) {
+      Rule<T> other = rules.get(j);
+      boolean before =
+          r.kind() == Rule.Kind.REGEX || other.conditions() == r.conditions()
+              ? j < i
+              : other.conditions() > r.conditions();
+      if (j != i && before && other.covers(r)) {
+        return j;
+      }
+    }
+    return -1;
+  }
+
+  private static <T> int behind(List<Rule<T>> rules, int i, List<Integer> catchAll) {
+    Rule<T> r = rules.get(i);
+    for (int j : catchAll) {
+      boolean before = r.kind() == Rule.Kind.PREFIX || r.kind() == Rule.Kind.REGEX && j < i;
+      if (j != i && before && rules.get(j).covers(r)) {
+        return j;
+      }
+    }
+    return -1;
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/routing/RouteTable.java
@@ -0,0 +1,145 @@
+package corkproxy.routing;
+
+import com.google.re2j.Pattern;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The routes of one listener, compiled. The order of precedence, which {@link RouteCheck} and the
+ * operator's page share:
+ *
+ * <ol>
+ *   <li>The host: the exact name, else the longest {@code *.suffix}, else the longest {@code
+ *       prefix.*}, else {@code *}. Only routes of the host found are looked at; there is no way
+ *       back to a less particular host.
+ *   <li>The path: the exact one, else regular expressions in the order of the file, else the longest
+ *       prefix.
+ *   <li>The conditions (methods, headers, classes): of routes with one host and path the one with
+ *       the most conditions that hold, else the first in the file. Where none holds, the search goes
+ *       on with the next path of point 2.
+ * </ol>
+ *
+ * <p>Exact and prefix routes cost one hash step a char and one probe a segment, whatever their
+ * number, and allocate nothing; regular expressions cost one run each. Safe for use by many threads.
+ */
+public final class RouteTable<T> {
+  /** The routes of one host pattern. */
+  private static final class HostRoutes<T> {
+    final RegionTable<List<Rule<T>>> exact = new RegionTable<>();
+    final RegionTable<List<Rule<T>>> prefixes = new RegionTable<>();
+    final List<Rule<T>> regexRules = new ArrayList<>();
+    final List<Pattern> regexes = new ArrayList<>();
+
+    Rule<T> find(Subject s) {
+      String path = s.path();
+      if (!exact.isEmpty()) {
+        Rule<T> r = first(exact.get(path), s);
+        if (r != null) {
+          return r;
+        }
+      }
+      for (int i = 0; i < regexes.size(); i++) {
+        if (regexRules.get(i).holds(s) && regexes.get(i).matches(path)) {
+          return regexRules.get(i);
+        }
+      }
+      return prefixes.isEmpty() ? null : longestPrefix(path, s);
+    }
+
+    private Rule<T> longestPrefix(String path, Subject s) {
+      Rule<T> best = null;
+      int hash = 0;
+      int n = path.length();
+      for (int i = 0; i <= n; i++) {
+        char c = i < n ? path.charAt(i) : '/';
+        if (c == '/') {
+          Rule<T> r = first(prefixes.get(path, 0, i, hash), s);
+          best = r == null ? best : r;
+        }
+        hash = RegionTable.step(hash, c);
+      }
+      return best;
+    }
+
+    private static <T> Rule<T> first(List<Rule<T>> rules, Subject s) {
+      if (rules != null) {
+        for (int i = 0; i < rules.size(); i++) {
+          if (rules.get(i).holds(s)) {
+            return rules.get(i);
+          }
+        }
+      }
+      return null;
+    }
+  }
+
+  private final RegionTable<HostRoutes<T>> hosts = new RegionTable<>();
+  private final RegionTable<HostRoutes<T>> suffixes = new RegionTable<>();
+  private final RegionTable<HostRoutes<T>> prefixes = new RegionTable<>();
+  private final HostRoutes<T> any = new HostRoutes<>();
+
+  /** Compiles rules that {@link RouteCheck} has found sound, in the order of the file. */
+  public RouteTable(List<Rule<T>> rules) {
+    Map<String, HostRoutes<T>> byHost = new LinkedHashMap<>();
+    byHost.put("*", any);
+    for (Rule<T> r : rules) {
+      for (String host : r.hosts()) {
+        add(byHost.computeIfAbsent(host, h -> new HostRoutes<>()), r);
+      }
+    }
+    byHost.forEach(
+        (host, routes) -> {
+          if (host.startsWith("*.")) {
+            suffixes.put(host.substring(1), routes);
+          } else if (host.endsWith(".*")) {
+            prefixes.put(host.substring(0, host.length() - 1), routes);
+          } else if (!host.equals("*")) {
+            hosts.put(host, routes);
+          }
+        });
+  }
+
+  private static <T> void add(HostRoutes<T> to, Rule<T> r) {
+    if (r.kind() == Rule.Kind.REGEX) {
+      to.regexRules.add(r);
+      to.regexes.add(r.pattern());
+      return;
+    }
+    RegionTable<List<Rule<T>>> table = r.kind() == Rule.Kind.EXACT ? to.exact : to.prefixes;
+    List<Rule<T>> same = table.get(r.path());
+    if (same == null) {
+      same = new ArrayList<>(1);
+      table.put(r.path(), same);
+    }
+    same.add(r);
+    same.sort(Comparator.comparingInt(x -> -x.conditions())); // stable: the file's order stays
+  }
+
+  /** The rule that wins, or null where none does. */
+  public Rule<T> find(Subject s) {
+    String host = s.host();
+    HostRoutes<T> found = hosts.isEmpty() ? null : hosts.get(host);
+    if (found == null && !suffixes.isEmpty()) {
+      for (int dot = host.indexOf('.'); dot >= 0 && found == null; dot = host.indexOf('.', dot + 1)) {
+        found = dot == 0 ? null : region(suffixes, host, dot, host.length());
+      }
+    }
+    if (found == null && !prefixes.isEmpty()) {
+      for (int dot = host.lastIndexOf('.'); dot > 0 && found == null; dot = host.lastIndexOf('.', dot - 1)) {
+        found = dot == host.length() - 1 ? null : region(prefixes, host, 0, dot + 1);
+      }
+    }
+    return (found == null ? any : found).find(s);
+  }
+
+  private static <V> V region(RegionTable<V> table, String s, int from, int to) {
+    int hash = 0;
+    for (int i = from; i < to; i++) {
+      hash = RegionTable.step(hash, s.charAt(i));
+    }
+    return table.get(s, from, to - from, hash);
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/standin/LoadGenerator.java
@@ -0,0 +1,393 @@
+package corkproxy.standin;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Open-loop load: requests are due at a set rate whatever becomes of those before, and each one's
+ * time counts from when it was due. So a server that stalls is charged for all that would have come
+ * meanwhile (coordinated omission, Tene). Bounded in time, connections and memory; ends by itself.
+ */
+public final class LoadGenerator implements AutoCloseable {
+  /** A kind of request and its part of the load. */
+  public record Kind(
+      String name, double part, String method, String path, String headers, int bodyBytes, long deadlineMs) {}
+
+  /** What became of a request. */
+  public enum Outcome {
+    SERVED,
+    REFUSED,
+    FAILED,
+    /** The connection ended, or nothing came by the deadline and a second. */
+    UNANSWERED,
+    /** Served with an answer that was made for another. */
+    WRONG
+  }
+
+  /** One request that is over; {@code ns} is from when it was due. */
+  public record Done(String id, Kind kind, Outcome outcome, long ns) {}
+
+  /** How the load is made. */
+  public record Plan(
+      InetSocketAddress target,
+      double perSecond,
+      double seconds,
+      int connections,
+      int threads,
+      List<Kind> kinds,
+      String idPrefix) {}
+
+  private static final long TICK_NANOS = 500_000L;
+  private static final long PATIENCE_NANOS = 1_000_000_000L;
+  private static final long MOST_NANOS = 60_000_000_000L;
+
+  private final Plan plan;
+  private final Consumer<Done> sink;
+  private final MultiThreadIoEventLoopGroup group;
+  private final List<Lane> lanes = new ArrayList<>();
+  private final CountDownLatch lanesDone;
+  private final AtomicLong sent = new AtomicLong();
+  private final AtomicLong over = new AtomicLong();
+  private final Histogram[] served;
+  private final long[][] outcomes;
+
+  /** {@code sink} hears of every request that is over, on one of the load's threads; may be null. */
+  public LoadGenerator(Plan plan, Consumer<Done> sink) {
+    this.plan = plan;
+    this.sink = sink;
+    this.group =
+        new MultiThreadIoEventLoopGroup(
+            plan.threads(), new DefaultThreadFactory("load", true), NioIoHandler.newFactory());
+    this.lanesDone = new CountDownLatch(plan.threads());
+    this.served = new Histogram[plan.kinds().size()];
+    this.outcomes = new long[plan.kinds().size()][Outcome.values().length];
+    for (int i = 0; i < served.length; i++) {
+      served[i] = new Histogram(MOST_NANOS, 3);
+    }
+    for (int i = 0; i < plan.threads(); i++) {
+      lanes.add(new Lane((EventLoop) group.next(), i));
+    }
+  }
+
+  /** Begins. */
+  public LoadGenerator start() {
+    long at = System.nanoTime() + 10_000_000L;
+    for (Lane l : lanes) {
+      l.loop.execute(() -> l.start(at));
+    }
+    return this;
+  }
+
+  /** Waits for the end: the plan's time, and what is still open by its deadline. */
+  public LoadGenerator await() throws InterruptedException {
+    lanesDone.await();
+    for (Lane l : lanes) {
+      for (int k = 0; k < served.length; k++) {
+        served[k].add(l.served[k]);
+        for (int o = 0; o < outcomes[k].length; o++) {
+          outcomes[k][o] += l.outcomes[k][o];
+        }
+      }
+    }
+    return this;
+  }
+
+  /** Requests that have been sent or are over so far. */
+  public long over() {
+    return over.get();
+  }
+
+  public long sent() {
+    return sent.get();
+  }
+
+  /** Times of the served requests of a kind (ns), from when they were due; after the end. */
+  public Histogram served(int kind) {
+    return served[kind];
+  }
+
+  public long count(int kind, Outcome o) {
+    return outcomes[kind][o.ordinal()];
+  }
+
+  public long count(Outcome o) {
+    long sum = 0;
+    for (long[] k : outcomes) {
+      sum += k[o.ordinal()];
+    }
+    return sum;
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+  }
+
+  private static final class Request {
+    final String id;
+    final int kind;
+    final long due;
+    final long until;
+
+    Request(String id, int kind, long due, long until) {
+      this.id = id;
+      this.kind = kind;
+      this.due = due;
+      this.until = until;
+    }
+  }
+
+  /** One thread's part of the load. */
+  private final class Lane {
+    final EventLoop loop;
+    final int number;
+    final Histogram[] served = new Histogram[plan.kinds().size()];
+    final long[][] outcomes = new long[plan.kinds().size()][Outcome.values().length];
+    private final ArrayDeque<Connection> free = new ArrayDeque<>();
+    private final ArrayDeque<Request> waiting = new ArrayDeque<>();
+    private final Bootstrap bootstrap;
+    private final int most;
+    private final double interval;
+    private final double[] debt;
+    private final java.util.Set<Connection> busy = new java.util.HashSet<>();
+    private long startAt;
+    private long endAt;
+    private long made;
+    private int connections;
+    private int open;
+
+    Lane(EventLoop loop, int number) {
+      this.loop = loop;
+      this.number = number;
+      this.most = Math.max(1, plan.connections() / plan.threads());
+      this.interval = 1e9 * plan.threads() / plan.perSecond();
+      this.debt = new double[plan.kinds().size()];
+      for (int i = 0; i < served.length; i++) {
+        served[i] = new Histogram(MOST_NANOS, 3);
+      }
+      this.bootstrap =
+          new Bootstrap()
+              .group(loop)
+              .channel(NioSocketChannel.class)
+              .option(ChannelOption.TCP_NODELAY, true)
+              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000)
+              .handler(
+                  new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                      ch.pipeline().addLast(new HttpResponseDecoder(), new Connection(Lane.this, ch));
+                    }
+                  });
+    }
+
+    void start(long at) {
+      startAt = at;
+      endAt = at + (long) (plan.seconds() * 1e9);
+      loop.schedule(this::tick, Math.max(0, at - System.nanoTime()), TimeUnit.NANOSECONDS);
+    }
+
+    private void tick() {
+      long now = System.nanoTime();
+      long due;
+      while ((due = startAt + (long) ((made + (double) number / plan.threads()) * interval)) <= now
+          && due < endAt) {
+        Request r = next(due);
+        made++;
+        open++;
+        sent.incrementAndGet();
+        waiting.add(r);
+      }
+      send();
+      expire(now);
+      if (now >= endAt && open == 0) {
+        lanesDone.countDown();
+      } else {
+        loop.schedule(this::tick, TICK_NANOS, TimeUnit.NANOSECONDS);
+      }
+    }
+
+    /** The kind that is most behind its part: a fixed mix, without chance. */
+    private Request next(long due) {
+      int kind = 0;
+      for (int i = 0; i < debt.length; i++) {
+        debt[i] += plan.kinds().get(i).part();
+        kind = debt[i] > debt[kind] ? i : kind;
+      }
+      double sum = 0;
+      for (Kind k : plan.kinds()) {
+        sum += k.part();
+      }
+      debt[kind] -= sum;
+      long wait = plan.kinds().get(kind).deadlineMs() * 1_000_000L + PATIENCE_NANOS;
+      return new Request(plan.idPrefix() + number + "-" + made, kind, due, due + wait);
+    }
+
+    private void send() {
+      while (!waiting.isEmpty()) {
+        Connection c = free.pollLast();
+        if (c == null) {
+          int wanted = Math.min(most - connections, waiting.size() - (connections - busy.size()));
+          for (int i = 0; i < wanted; i++) {
+            connections++;
+            bootstrap
+                .connect(plan.target())
+                .addListener(
+                    f -> {
+                      if (!f.isSuccess()) {
+                        connections--;
+                      }
+                    });
+          }
+          return;
+        }
+        if (c.channel.isActive()) {
+          busy.add(c);
+          c.write(waiting.poll());
+        }
+      }
+    }
+
+    private void expire(long now) {
+      while (!waiting.isEmpty() && waiting.peek().until < now) {
+        end(waiting.poll(), Outcome.UNANSWERED);
+      }
+      if (!busy.isEmpty()) {
+        for (Connection c : new ArrayList<>(busy)) {
+          if (c.request != null && c.request.until < now) {
+            c.channel.close();
+          }
+        }
+      }
+    }
+
+    void end(Request r, Outcome o) {
+      open--;
+      over.incrementAndGet();
+      outcomes[r.kind][o.ordinal()]++;
+      long ns = System.nanoTime() - r.due;
+      if (o == Outcome.SERVED) {
+        served[r.kind].recordValue(Math.min(MOST_NANOS, Math.max(1, ns)));
+      }
+      if (sink != null) {
+        sink.accept(new Done(r.id, plan.kinds().get(r.kind), o, ns));
+      }
+    }
+  }
+
+  private final class Connection extends ChannelInboundHandlerAdapter {
+    private final Lane lane;
+    private final Channel channel;
+    private Request request;
+    private int status;
+    private String echoed;
+    private boolean keep;
+
+    Connection(Lane lane, Channel channel) {
+      this.lane = lane;
+      this.channel = channel;
+    }
+
+    void write(Request r) {
+      request = r;
+      Kind k = plan.kinds().get(r.kind);
+      StringBuilder s = new StringBuilder(256);
+      s.append(k.method()).append(' ').append(k.path()).append(" HTTP/1.1\r\nHost: load.test\r\n")
+          .append("X-Request-ID: ").append(r.id).append("\r\n").append(k.headers());
+      if (k.headers().contains("Idempotency-Key")) {
+        s.append(r.id).append("\r\n");
+      }
+      if (k.bodyBytes() > 0 || !k.method().equals("GET")) {
+        s.append("Content-Length: ").append(k.bodyBytes()).append("\r\n");
+      }
+      s.append("\r\n").append(" ".repeat(k.bodyBytes()));
+      ByteBuf b = channel.alloc().buffer(s.length());
+      b.writeCharSequence(s, StandardCharsets.US_ASCII);
+      channel.writeAndFlush(b);
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      lane.free.addLast(this);
+      lane.send();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object msg) {
+      try {
+        if (msg instanceof HttpResponse head) {
+          status = head.decoderResult().isFailure() ? 0 : head.status().code();
+          echoed = head.headers().get("X-Request-ID");
+          keep = HttpUtil.isKeepAlive(head);
+        }
+        if (msg instanceof LastHttpContent && request != null) {
+          done();
+        } else if (msg instanceof HttpContent && request == null) {
+          channel.close();
+        }
+      } finally {
+        ReferenceCountUtil.release(msg);
+      }
+    }
+
+    private void done() {
+      Request r = request;
+      request = null;
+      lane.busy.remove(this);
+      Outcome o =
+          status >= 200 && status < 300
+              ? echoed == null || echoed.equals(r.id) ? Outcome.SERVED : Outcome.WRONG
+              : status == 429 || status == 503 ? Outcome.REFUSED : Outcome.FAILED;
+      lane.end(r, o);
+      if (keep) {
+        lane.free.addLast(this);
+        lane.send();
+      } else {
+        channel.close();
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      lane.connections--;
+      lane.free.remove(this);
+      lane.busy.remove(this);
+      if (request != null) {
+        Request r = request;
+        request = null;
+        lane.end(r, Outcome.UNANSWERED);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      channel.close();
+    }
+  }
+}
--- a/src/test/java/corkproxy/ArchitectureTest.java
+++ b/src/test/java/corkproxy/ArchitectureTest.java
@@ -84,7 +84,7 @@
         .resideInAnyPackage("corkproxy.balancer..", "corkproxy.routing..", "corkproxy.limits..")
         .should()
         .dependOnClassesThat()
-        .resideInAnyPackage("io.netty..", "java.net..", "java.nio..", "java.io..")
+        .resideInAnyPackage("io.netty..", "java.net..", "java.nio.file..", "java.nio.channels..", "java.io..")
         .allowEmptyShould(true)
         .check(CLASSES);
   }
--- /dev/null
+++ b/src/test/java/corkproxy/cli/CommandsTest.java
@@ -0,0 +1,194 @@
+package corkproxy.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import corkproxy.standin.HttpStandIn;
+import corkproxy.standin.Ledger;
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The commands as processes of their own. */
+class CommandsTest {
+  @TempDir Path folder;
+
+  /** Without what only tests bring along: netty would log through it. */
+  private static final String CLASS_PATH =
+      Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
+          .filter(p -> !p.contains("slf4j"))
+          .collect(Collectors.joining(File.pathSeparator));
+
+  private record Run(int status, String out, String err) {}
+
+  private static ProcessBuilder java(List<String> vm, String... args) {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(vm);
+    command.addAll(List.of("-cp", CLASS_PATH, "corkproxy.Main"));
+    command.addAll(List.of(args));
+    return new ProcessBuilder(command);
+  }
+
+  private Run run(String... args) throws Exception {
+    Path out = Files.createTempFile(folder, "out", "");
+    Path err = Files.createTempFile(folder, "err", "");
+    Process p =
+        java(List.of(), args).redirectOutput(out.toFile()).redirectError(err.toFile()).start();
+    if (!p.waitFor(120, TimeUnit.SECONDS)) {
+      p.destroyForcibly();
+    }
+    return new Run(p.waitFor(), Files.readString(out), Files.readString(err));
+  }
+
+  @Test
+  void checkTellsSoundFromFaulty() throws Exception {
+    Run sound = run("check", "deploy/leadferry.toml");
+    assertThat(sound.status()).isZero();
+    Path bad = Files.writeString(folder.resolve("bad.toml"), "[daemon]\nworkers = \"two\"\n");
+    Run faulty = run("check", bad.toString());
+    assertThat(faulty.status()).isEqualTo(2);
+    assertThat(faulty.err()).contains("bad.toml:2: daemon.workers: 'two' (expected:");
+    JsonNode json = new ObjectMapper().readTree(run("check", "--json", bad.toString()).out());
+    assertThat(json.path("sound").asBoolean(true)).isFalse();
+    assertThat(json.path("faults").get(0).path("line").asInt()).isZero();
+    assertThat(json.path("faults").findValuesAsText("key")).contains("daemon.workers");
+  }
+
+  @Test
+  void argumentsThatAreNoneEndWithTwoAndHelpWithNought() throws Exception {
+    assertThat(run().status()).isEqualTo(2);
+    assertThat(run("dance").status()).isEqualTo(2);
+    assertThat(run("load", "10.0.0.1:80").status()).isEqualTo(2);
+    Run help = run("daemon", "--help");
+    assertThat(help.status()).isZero();
+    assertThat(help.out()).contains("--config", "Exit status");
+  }
+
+  @Test
+  void theDemoEndsByItselfAndItsRulesHold() throws Exception {
+    Run r = run("demo", "--seconds", "8", "--rate", "150", "--json");
+    assertThat(r.status()).as(r.out() + r.err()).isZero();
+    JsonNode json = new ObjectMapper().readTree(r.out());
+    assertThat(json.path("held").asBoolean()).isTrue();
+    assertThat(json.path("classes").path("visit-claim").path("served").asInt()).isPositive();
+    assertThat(json.path("hosts").path("h4").path("served").asInt()).isPositive();
+    assertThat(r.err()).isEmpty(); // no progress where output is piped
+  }
+
+  @Test
+  void loadTellsWhatCameBack() throws Exception {
+    try (HttpStandIn host = new HttpStandIn(HttpStandIn.Options.quick("h"), new Ledger(10_000))) {
+      Run r = run("load", host.place(), "--rate", "500", "--seconds", "2", "--json");
+      assertThat(r.status()).as(r.err()).isZero();
+      JsonNode json = new ObjectMapper().readTree(r.out());
+      assertThat(json.path("served").asInt()).isEqualTo(1_000);
+      assertThat(host.served()).isEqualTo(1_000);
+    }
+  }
+
+  /** A stand-in, the daemon before it, a signal for a reload and one for the end. */
+  @Test
+  void theDaemonReloadsOnHangupAndEndsWithNoughtOnTerm() throws Exception {
+    Process standIn = java(List.of(), "standin", "--service-ms", "0").start();
+    Path err = folder.resolve("daemon.err");
+    Process daemon = null;
+    try {
+      String place = line(standIn).replaceAll(".* at ", "");
+      Path file = folder.resolve("leadferry.toml");
+      String text =
+          "[listener.main]\naddress = \"127.0.0.1:0\"\n[pool.a]\n[[pool.a.member]]\nid = \"h\"\n"
+              + "address = \"" + place + "\"\n[[route]]\nname = \"r\"\nprefix = \"/\"\npool = \"a\"\n";
+      Files.writeString(file, text);
+      daemon = java(List.of(), "daemon", "--config", file.toString()).redirectError(err.toFile()).start();
+      awaitLine(err, "ready");
+      Files.writeString(file, text.replace("pool = \"a\"", "pool = \"b\""));
+      signal(daemon, "HUP");
+      awaitLine(err, "not taken");
+      Files.writeString(file, text.replace("\"r\"", "\"s\""));
+      signal(daemon, "HUP");
+      awaitLine(err, "version 2 in force");
+      signal(daemon, "TERM");
+      assertThat(daemon.waitFor(30, TimeUnit.SECONDS)).isTrue();
+      assertThat(daemon.exitValue()).isZero();
+      assertThat(Files.readString(err)).contains("drained");
+    } finally {
+      standIn.destroy();
+      if (daemon != null) {
+        daemon.destroyForcibly();
+      }
+    }
+  }
+
+  private static String line(Process p) throws IOException {
+    return new BufferedReader(new InputStreamReader(p.getInputStream(), StandardCharsets.UTF_8)).readLine();
+  }
+
+  private static void signal(Process p, String name) throws Exception {
+    new ProcessBuilder("kill", "-" + name, Long.toString(p.pid())).start().waitFor();
+  }
+
+  private static void awaitLine(Path file, String text) throws Exception {
+    long until = System.nanoTime() + 30_000_000_000L;
+    while (!Files.readString(file).contains(text)) {
+      assertThat(System.nanoTime()).as("no line '%s' in: %s", text, Files.readString(file)).isLessThan(until);
+      Thread.sleep(20);
+    }
+  }
+
+  /** The platform's process pays for none of the daemon's classes. */
+  @Test
+  void theProxyLoadsNoClassOfTheDaemon() throws Exception {
+    Path classes = folder.resolve("classes.log");
+    Path config =
+        Files.writeString(
+            folder.resolve("config.json"),
+            "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\","
+                + "\"known\":{\"version\":1,\"full\":true,\"servers\":[]},\"settings\":{\"classes\":["
+                + "{\"name\":\"a\",\"aim\":400,\"deadline\":800,\"semantics\":\"unsafe\"}]}}");
+    ProcessBuilder b =
+        java(List.of("-Xlog:class+load:file=" + classes), "proxy")
+            .redirectError(folder.resolve("err").toFile());
+    b.environment().put("BALANCER_CONFIG", config.toString());
+    Process p = b.start();
+    try {
+      // It has listened once its front has been set up, after the rehearsal.
+      long until = System.nanoTime() + 60_000_000_000L;
+      while (System.nanoTime() < until
+          && !Files.exists(classes)
+          || !Files.readString(classes).contains("corkproxy.http.ClientConnection")) {
+        Thread.sleep(50);
+      }
+      signal(p, "TERM");
+      assertThat(p.waitFor(30, TimeUnit.SECONDS)).isTrue();
+    } finally {
+      p.destroyForcibly();
+    }
+    List<String> loaded = Files.readAllLines(classes);
+    assertThat(loaded).anyMatch(l -> l.contains("corkproxy.proxy.Proxy"));
+    assertThat(loaded)
+        .noneMatch(
+            l ->
+                l.contains("corkproxy.daemon.")
+                    || l.contains("corkproxy.cli.")
+                    || l.contains("corkproxy.routing.")
+                    || l.contains("corkproxy.limits.")
+                    || l.contains("corkproxy.standin.")
+                    || l.contains("picocli.")
+                    || l.contains("re2j.")
+                    || l.contains("HdrHistogram.")
+                    || l.contains(".toml."));
+  }
+}
--- /dev/null
+++ b/src/test/java/corkproxy/daemon/DaemonTest.java
@@ -0,0 +1,544 @@
+package corkproxy.daemon;
+
+import static corkproxy.daemon.Installation.CLASSES;
+import static corkproxy.daemon.Installation.LISTENER;
+import static corkproxy.daemon.Installation.pool;
+import static corkproxy.daemon.Installation.request;
+import static corkproxy.daemon.Installation.route;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import corkproxy.engine.Log;
+import corkproxy.proxy.World;
+import corkproxy.standin.HttpStandIn;
+import corkproxy.standin.HttpStandIn.Fault;
+import corkproxy.standin.LoadGenerator;
+import corkproxy.standin.LoadGenerator.Outcome;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The daemon between clients and hosts that misbehave, and under files that change. */
+class DaemonTest {
+  private static final String CLAIMS = route("claims", "/", "class = \"claim\"\npool = \"a\"");
+  private static final LoadGenerator.Kind CLAIM =
+      new LoadGenerator.Kind("claim", 1, "POST", "/claim", "", 100, 3_000);
+
+  @TempDir Path folder;
+  private Installation it;
+
+  @BeforeEach
+  void open() {
+    it = new Installation(folder);
+  }
+
+  @AfterEach
+  void close() {
+    it.close();
+  }
+
+  // --- reload
+
+  @Test
+  void aReloadEvery50MsHalfOfThemBadLosesNothingAndPutsNoBadFileInForce() throws Exception {
+    HttpStandIn a = it.host("a");
+    HttpStandIn b = it.host("b");
+    HttpStandIn never = it.host("never");
+    String[] good = {
+      String.join("\n", LISTENER, CLASSES, pool("a", "", a), CLAIMS),
+      String.join("\n", LISTENER, CLASSES, pool("a", "", a, b), CLAIMS,
+          "[[limit]]\nname = \"l\"\nby = \"tenant\"\nconcurrency = 5000"),
+      String.join("\n", LISTENER, CLASSES, pool("b", "", b), pool("a", "max_attempts = 2", b),
+          route("claims", "/", "class = \"claim\"\npool = \"b\"\nfallback = [\"a\"]")),
+    };
+    String badPool = pool("a", "", never);
+    String[] bad = {
+      String.join("\n", LISTENER, CLASSES, badPool, CLAIMS, "[[limit]]\nname = \"l\"\nby = \"moon\""),
+      String.join("\n", LISTENER, CLASSES, badPool, CLAIMS, CLAIMS.replace("claims", "again")),
+      String.join("\n", LISTENER, CLASSES, badPool, CLAIMS).substring(0, 150),
+      String.join("\n", LISTENER.replace(":0", ":1"), CLASSES, badPool, CLAIMS, "x = 1"),
+    };
+    it.start(good[0]);
+    int taken = 0;
+    try (LoadGenerator load = it.load(300, 20, List.of(CLAIM)).start()) {
+      for (int i = 0; i < 400; i++) {
+        boolean isBad = i % 2 == 1;
+        it.write(isBad ? bad[i / 2 % bad.length] : good[i / 2 % good.length]);
+        boolean inForce = it.daemon.reload();
+        assertThat(inForce).isNotEqualTo(isBad);
+        taken += inForce ? 1 : 0;
+        Thread.sleep(50);
+      }
+      load.await();
+      assertThat(load.count(Outcome.UNANSWERED)).isZero();
+      assertThat(load.count(Outcome.WRONG)).isZero();
+      assertThat(load.count(Outcome.FAILED)).isZero();
+      assertThat(load.count(Outcome.SERVED)).isGreaterThan(load.sent() * 95 / 100);
+    }
+    assertThat(it.daemon.version()).isEqualTo(1 + taken);
+    assertThat(never.lastArrival()).isZero();
+    assertThat(it.ledger.repeated()).isEmpty();
+    assertThat(it.log()).contains("not taken: ");
+  }
+
+  @Test
+  void aRequestEndsUnderTheVersionThatTookIt() throws Exception {
+    HttpStandIn slow = it.host(HttpStandIn.Options.quick("slow").takes(400, 1));
+    it.start(LISTENER, CLASSES, pool("a", "", slow), CLAIMS);
+    try (Socket s = it.client()) {
+      World.write(s, request("POST", "/claim", "out"));
+      World.await(() -> it.ledger.of("out").size() == 1);
+      HttpStandIn other = it.host("other");
+      it.write(LISTENER, CLASSES, pool("b", "", other),
+          route("else", "/else", "class = \"claim\"\npool = \"b\""));
+      assertThat(it.daemon.reload()).isTrue();
+      assertThat(it.status(request("POST", "/claim", "late"))).isEqualTo(404);
+      assertThat(World.read(s.getInputStream())).startsWith("HTTP/1.1 200").contains("out");
+    }
+    World.await(() -> slow.connections() == 0); // the pool that went has let go
+    assertThat(it.ledger.of("out")).hasSize(1);
+    assertThat(it.ledger.of("late")).isEmpty();
+  }
+
+  @Test
+  void whatStaysOverAReloadKeepsItsConnections() throws Exception {
+    HttpStandIn a = it.host("a");
+    it.start(LISTENER, CLASSES, pool("a", "", a), CLAIMS);
+    try (Socket s = it.client()) {
+      for (int i = 0; i < 5; i++) {
+        World.write(s, request("POST", "/claim", "r" + i));
+        assertThat(World.read(s.getInputStream())).startsWith("HTTP/1.1 200");
+        it.write(LISTENER, CLASSES, pool("a", "", a), CLAIMS,
+            route("more" + i, "/more" + i, "class = \"claim\"\npool = \"a\""));
+        assertThat(it.daemon.reload()).isTrue();
+        Thread.sleep(20); // longer than a connection rests after an answer
+      }
+      assertThat(a.mostConnections()).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void aListenerWhosePortIsTakenIsAFaultAndChangesNothing() throws Exception {
+    HttpStandIn a = it.host("a");
+    try (ServerSocket other = new ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
+      String taken =
+          "[listener.second]\naddress = \"127.0.0.1:" + other.getLocalPort() + "\"\n";
+      it.write(LISTENER, taken, CLASSES, pool("a", "", a), CLAIMS);
+      assertThatThrownBy(() -> new Daemon(it.file, new Log(quiet())))
+          .isInstanceOf(FaultyFileException.class)
+          .hasMessageContaining("listener.second.address");
+      it.start(LISTENER, CLASSES, pool("a", "", a), CLAIMS);
+      it.write(LISTENER, taken, CLASSES, pool("a", "", a),
+          route("else", "/else", "class = \"claim\"\npool = \"a\""));
+      assertThat(it.daemon.reload()).isFalse();
+      assertThat(it.daemon.address("second")).isNull();
+      assertThat(it.status(request("POST", "/claim", "r"))).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void aListenerThatGoesAnswersWhatItHasTakenAndAskedClientsLeave() throws Exception {
+    HttpStandIn slow = it.host(HttpStandIn.Options.quick("slow").takes(300, 2));
+    String second = "[listener.second]\naddress = \"127.0.0.1:0\"\n";
+    it.start(LISTENER, second, CLASSES, pool("a", "", slow), CLAIMS);
+    try (Socket s = Installation.client(it.daemon.address("second"))) {
+      World.write(s, request("POST", "/claim", "out"));
+      World.await(() -> it.ledger.of("out").size() == 1);
+      it.write(LISTENER, CLASSES, pool("a", "", slow), CLAIMS);
+      assertThat(it.daemon.reload()).isTrue();
+      assertThat(World.read(s.getInputStream()))
+          .startsWith("HTTP/1.1 200")
+          .containsIgnoringCase("connection: close");
+      assertThat(World.ends(s)).isTrue();
+    }
+    assertThat(it.daemon.address("second")).isNull();
+  }
+
+  @Test
+  void anEmptiedPoolRefusesAndAFilledOneServesAgain() throws Exception {
+    HttpStandIn a = it.host("a");
+    it.start(LISTENER, CLASSES, pool("a", "", a), CLAIMS);
+    it.write(LISTENER, CLASSES, pool("a", ""), CLAIMS);
+    assertThat(it.daemon.reload()).isTrue();
+    assertThat(it.status(request("POST", "/claim", "r1"))).isEqualTo(503);
+    assertThat(it.ledger.executions()).isZero();
+    it.write(LISTENER, CLASSES, pool("a", "", a), CLAIMS);
+    assertThat(it.daemon.reload()).isTrue();
+    assertThat(it.status(request("POST", "/claim", "r2"))).isEqualTo(200);
+  }
+
+  @Test
+  void aDrainDuringReloadsAnswersAllThatWasTaken() throws Exception {
+    HttpStandIn slow = it.host(HttpStandIn.Options.quick("slow").takes(150, 50));
+    it.start(LISTENER, CLASSES, pool("a", "", slow), CLAIMS);
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      Socket s = it.client();
+      World.write(s, request("POST", "/claim", "r" + i));
+      clients.add(s);
+    }
+    World.await(() -> it.ledger.executions() == 20);
+    Thread reloads =
+        new Thread(
+            () -> {
+              for (int i = 0; i < 50; i++) {
+                it.daemon.reload();
+              }
+            });
+    reloads.start();
+    it.daemon.drain();
+    reloads.join();
+    for (Socket s : clients) {
+      assertThat(World.read(s.getInputStream())).startsWith("HTTP/1.1 200");
+      s.close();
+    }
+    it.daemon.awaitEnd();
+    assertThat(it.daemon.reload()).isFalse(); // nothing comes back to life
+    assertThat(it.ledger.repeated()).isEmpty();
+  }
+
+  // --- limits
+
+  @Test
+  void aLimitThatIsLoweredCountsWhatIsInFlight() throws Exception {
+    HttpStandIn silent = it.host("silent");
+    silent.misbehave(Fault.SILENT, 1);
+    String limit = "[[limit]]\nname = \"l\"\nconcurrency = ";
+    it.start(LISTENER, CLASSES, pool("a", "", silent), CLAIMS, limit + 10);
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      Socket s = it.client();
+      World.write(s, request("POST", "/claim", "r" + i));
+      clients.add(s);
+    }
+    World.await(() -> it.ledger.executions() == 5);
+    it.write(LISTENER, CLASSES, pool("a", "", silent), CLAIMS, limit + 3);
+    assertThat(it.daemon.reload()).isTrue();
+    String refused = it.ask(request("POST", "/claim", "over"));
+    assertThat(refused).startsWith("HTTP/1.1 429").containsIgnoringCase("retry-after: 1\r\n");
+    assertThat(it.ledger.of("over")).isEmpty();
+    for (int i = 0; i < 3; i++) {
+      clients.get(i).close();
+    }
+    silent.misbehave(Fault.NONE, 0);
+    World.await(() -> quietly(() -> it.status(request("POST", "/claim", "after"))) == 200);
+    for (Socket s : clients) {
+      s.close();
+    }
+  }
+
+  @Test
+  void aHotTenantLeavesRoomForQuietOnes() throws Exception {
+    HttpStandIn silent = it.host("silent");
+    silent.misbehave(Fault.SILENT, 1);
+    it.start(LISTENER, CLASSES, pool("a", "", silent), CLAIMS,
+        "[[limit]]\nname = \"all\"\nconcurrency = 20",
+        "[[limit]]\nname = \"tenant\"\nby = \"tenant\"\nwithin = \"all\"\nconcurrency = 1000");
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      Socket s = it.client();
+      clients.add(s);
+      World.write(s, request("POST", "/claim", "hot" + i, "X-Tenant-Id: hot"));
+    }
+    World.await(() -> it.ledger.executions() >= 16);
+    List<String> quiet = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      Socket s = it.client();
+      clients.add(s);
+      String id = "quiet" + i;
+      World.write(s, request("POST", "/claim", id, "X-Tenant-Id: quiet" + i));
+      quiet.add(id);
+    }
+    World.await(() -> quiet.stream().allMatch(id -> it.ledger.of(id).size() == 1));
+    assertThat(it.ledger.executions()).isLessThanOrEqualTo(20);
+    for (Socket s : clients) {
+      s.close();
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 4})
+  void clientsThatGoMidRequestLeaveNothingBehindOnAnyWorker(int workers) throws Exception {
+    HttpStandIn a = it.host("a");
+    a.misbehave(Fault.SILENT, 1);
+    it.start("[daemon]\nworkers = " + workers, LISTENER, CLASSES, pool("a", "", a), CLAIMS,
+        "[[limit]]\nname = \"l\"\nconcurrency = 16");
+    for (int round = 0; round < 4; round++) {
+      List<Socket> clients = new ArrayList<>();
+      for (int i = 0; i < 16; i++) {
+        Socket s = it.client();
+        clients.add(s);
+        String whole = request("POST", "/claim", "g" + round + "-" + i);
+        // Half of them go while their request still comes, after the limit has counted it.
+        World.write(s, i % 2 == 0 ? whole : whole.replace("Content-Length: 0", "Content-Length: 5") + "ab");
+      }
+      int expected = 8 * (round + 1);
+      World.await(() -> it.ledger.executions() == expected);
+      for (Socket s : clients) {
+        s.close();
+      }
+      World.await(() -> a.connections() == 0); // their attempts were given up
+    }
+    a.misbehave(Fault.NONE, 0);
+    for (int i = 0; i < 16; i++) {
+      int n = i;
+      World.await(() -> quietly(() -> it.status(request("POST", "/claim", "after" + n))) == 200);
+    }
+  }
+
+  private interface Asked {
+    int status() throws Exception;
+  }
+
+  private static int quietly(Asked asked) {
+    try {
+      return asked.status();
+    } catch (Exception e) {
+      return -1;
+    }
+  }
+
+  // --- routes
+
+  @ParameterizedTest
+  @CsvSource({
+    "/public/../admin", "/public/%2e%2e/admin", "/public/.%2E/admin", "//admin", "/public//admin",
+    "/public/%2fadmin", "/public%2f..%2fadmin", "/public/..%2fadmin", "/public/%5c../admin",
+    "/public/..;/admin", "/public/%2e%2e;x=1/admin", "/./admin", "/admin%00", "/%00/admin",
+    "/public/%252e%252e/admin", "/public/\\admin", "/public/%zz", "/public/%2", "public/admin",
+    "http://api.test/admin", "*", "/public/%0d%0aX:1"
+  })
+  void aPathOfTwoReadingsReachesNoHost(String path) throws Exception {
+    HttpStandIn open = it.host("open");
+    HttpStandIn admin = it.host("admin");
+    it.start(LISTENER, CLASSES, pool("a", "", open), pool("b", "", admin),
+        route("public", "/public", "pool = \"a\""), route("admin", "/admin", "pool = \"b\""),
+        route("rest", "/", "pool = \"a\""));
+    assertThat(it.status(request("GET", path, "r"))).isEqualTo(400);
+    assertThat(it.ledger.executions()).isZero();
+    assertThat(it.log()).contains("turned away with 400");
+  }
+
+  @Test
+  void anEncodedLetterCannotPassItsRoute() throws Exception {
+    HttpStandIn open = it.host("open");
+    HttpStandIn admin = it.host("admin");
+    it.start(LISTENER, CLASSES, pool("a", "", open), pool("b", "", admin),
+        route("admin", "/admin", "pool = \"b\""), route("rest", "/", "pool = \"a\""));
+    assertThat(it.ask(request("GET", "/%61dmin/x", "r"))).contains("X-Served-By: admin");
+    assertThat(it.ask(request("GET", "/administer", "s"))).contains("X-Served-By: open");
+  }
+
+  @Test
+  void whereTheListenerResolvesPathsTheHostIsSentWhatWasMatched() throws Exception {
+    List<String> seen = new java.util.concurrent.CopyOnWriteArrayList<>();
+    try (World world = new World(folder, 128)) {
+      World.Host host = world.new Host(h -> { seen.add(h.split(" ")[1]); return World.ok("x"); });
+      it.start(LISTENER + "paths = \"resolve\"", CLASSES,
+          "[pool.a]\n[[pool.a.member]]\nid=\"h\"\naddress=\"" + host.address() + "\"",
+          route("all", "/", "pool = \"a\""));
+      assertThat(it.status(request("GET", "/a/../b//c/./d%20e?q=../x", "r"))).isEqualTo(200);
+      assertThat(it.status(request("GET", "/a/%2e%2e/..", "s"))).isEqualTo(400);
+      assertThat(seen).containsExactly("/b/c/d%20e?q=../x");
+    }
+  }
+
+  @Test
+  void aRouteRewritesItsPrefixAndHeaders() throws Exception {
+    List<String> heads = new java.util.concurrent.CopyOnWriteArrayList<>();
+    try (World world = new World(folder, 128)) {
+      World.Host host = world.new Host(h -> { heads.add(h); return World.ok("x"); });
+      it.start(LISTENER, CLASSES,
+          "[pool.a]\n[[pool.a.member]]\nid=\"h\"\naddress=\"" + host.address() + "\"",
+          route("old", "/old", "pool = \"a\"\nrewrite_prefix = \"/new/\"\n"
+              + "set_headers = { X-Office = \"7\" }\nremove_headers = [\"X-Secret\"]"));
+      assertThat(it.status(request("GET", "/old/x%20y?q=1", "r", "X-Secret: s"))).isEqualTo(200);
+      assertThat(it.status(request("GET", "/old", "s"))).isEqualTo(200);
+      assertThat(heads.get(0)).startsWith("GET /new/x%20y?q=1 ").contains("X-Office: 7")
+          .doesNotContain("X-Secret");
+      assertThat(heads.get(1)).startsWith("GET /new HTTP");
+    }
+  }
+
+  @Test
+  void aSplitKeepsAKeyOnOneSide() throws Exception {
+    HttpStandIn a = it.host("a");
+    HttpStandIn b = it.host("b");
+    it.start(LISTENER, CLASSES, pool("a", "", a), pool("b", "", b),
+        "[[route]]\nname = \"r\"\nprefix = \"/\"\nsplit_by = \"header:X-Carer\"\n"
+            + "split = [ { pool = \"a\", weight = 1 }, { pool = \"b\", weight = 1 } ]");
+    for (int key = 0; key < 20; key++) {
+      Set<String> servers = new HashSet<>();
+      for (int i = 0; i < 3; i++) {
+        String id = "k" + key + "-" + i;
+        assertThat(it.status(request("GET", "/x", id, "X-Carer: carer" + key))).isEqualTo(200);
+        servers.add(it.ledger.of(id).get(0).host());
+      }
+      assertThat(servers).hasSize(1);
+    }
+    assertThat(a.served()).isPositive();
+    assertThat(b.served()).isPositive();
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "claim, TURN_AWAY, 200, 1", // known not to have run: the next pool serves it
+    "claim, RESET_AFTER, 502, 0", // it has run: no other pool may see it
+    "claim, FAIL_FAST, 502, 0", // it may have run
+    "list, RESET_AFTER, 200, 1", // safe to repeat
+  })
+  void aFallbackTakesOnlyWhatIsKnownNotToHaveRunOrIsSafe(
+      String type, Fault fault, int status, int runsAtNext) throws Exception {
+    HttpStandIn first = it.host("first");
+    HttpStandIn next = it.host("next");
+    first.misbehave(fault, 1);
+    it.start(LISTENER, CLASSES, pool("a", "", first), pool("b", "", next),
+        route("r", "/", "class = \"" + type + "\"\npool = \"a\"\nfallback = [\"b\"]"));
+    assertThat(it.status(request("POST", "/x", "r"))).isEqualTo(status);
+    assertThat(it.ledger.of("r").stream().filter(e -> e.host().equals("next"))).hasSize(runsAtNext);
+  }
+
+  @Test
+  void aKeyedRequestThatMayHaveRunStaysInItsPool() throws Exception {
+    HttpStandIn first = it.host("first");
+    HttpStandIn next = it.host("next");
+    first.misbehave(Fault.RESET_AFTER, 1);
+    it.start(LISTENER,
+        "[class.log]\nrepeat = \"keyed\"\nscope = \"all\"\nwindow_ms = 2000\ndeadline_ms = 3000",
+        pool("a", "", first), pool("b", "", next),
+        route("r", "/", "class = \"log\"\npool = \"a\"\nfallback = [\"b\"]"));
+    it.status(request("POST", "/x", "r", "Idempotency-Key: k"));
+    assertThat(it.ledger.of("r")).isNotEmpty().allMatch(e -> e.host().equals("first"));
+    assertThat(it.status(request("POST", "/x", "s"))).isEqualTo(400); // no key tells its repeats
+    assertThat(it.ledger.of("s")).isEmpty();
+  }
+
+  @Test
+  void aRetryBudgetOnlySaysNo() throws Exception {
+    HttpStandIn[] hosts = {it.host("a"), it.host("b"), it.host("c")};
+    for (HttpStandIn h : hosts) {
+      h.misbehave(Fault.TURN_AWAY, 1);
+    }
+    String route = route("r", "/", "class = \"list\"\npool = \"a\"");
+    it.start(LISTENER, CLASSES, pool("a", "retries = { ratio = 0, burst = 0 }", hosts), route);
+    assertThat(it.status(request("GET", "/x", "r"))).isEqualTo(503);
+    long asked = java.util.Arrays.stream(hosts).filter(h -> h.lastArrival() > 0).count();
+    assertThat(asked).isEqualTo(1);
+    it.write(LISTENER, CLASSES, pool("a", "", hosts), route);
+    assertThat(it.daemon.reload()).isTrue();
+    assertThat(it.status(request("GET", "/x", "s"))).isEqualTo(503);
+    assertThat(java.util.Arrays.stream(hosts).filter(h -> h.lastArrival() > 0).count())
+        .isGreaterThan(1);
+  }
+
+  // --- input that is bad or odd
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "\u0001\u0002garbage\r\n\r\n",
+        "GET / HTTP/1.0\r\nHost: a\r\n\r\n",
+        "GET / HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a b\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a:x\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: [::1\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nX-Timeout-Ms: soon\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nX-Timeout-Ms: 0\r\n\r\n",
+        "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
+      })
+  void whatCannotBeARequestGetsAnErrorAndReachesNoHost(String bytes) throws Exception {
+    HttpStandIn a = it.host("a");
+    it.start(LISTENER, CLASSES, pool("a", "", a), CLAIMS);
+    assertThat(it.status(bytes)).isBetween(400, 505);
+    assertThat(a.lastArrival()).isZero();
+    assertThat(it.status(request("POST", "/claim", "good"))).isEqualTo(200);
+  }
+
+  @Test
+  void aBodyOverTheBoundIsTurnedAwayHoweverItIsFramed() throws Exception {
+    HttpStandIn a = it.host("a");
+    it.start(LISTENER + "max_body_bytes = 100", CLASSES, pool("a", "", a), CLAIMS);
+    String sized = request("POST", "/c", "r").replace("Content-Length: 0", "Content-Length: 101");
+    assertThat(it.status(sized + "x".repeat(101))).isEqualTo(413);
+    String chunked = request("POST", "/c", "s").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    assertThat(it.status(chunked + "65\r\n" + "x".repeat(101) + "\r\n0\r\n\r\n")).isEqualTo(413);
+    assertThat(a.lastArrival()).isZero();
+    assertThat(it.status(sized.replace("101", "100").replace(": r", ": t") + "x".repeat(100)))
+        .isEqualTo(200);
+  }
+
+  @Test
+  void theLogOfBadInputIsBounded() throws Exception {
+    HttpStandIn a = it.host("a");
+    it.start(LISTENER, CLASSES, pool("a", "", a), CLAIMS);
+    for (int i = 0; i < 300; i++) {
+      assertThat(it.status("GET /../x HTTP/1.1\r\nHost: a\r\n\r\n")).isEqualTo(400);
+    }
+    long seconds = 3; // ample: the loop above takes less, and the log counts whole seconds
+    assertThat(it.log().lines().filter(l -> l.contains("turned away")).count())
+        .isLessThanOrEqualTo(50 * (seconds + 1));
+  }
+
+  @Test
+  void aHeadRequestGetsTheLengthWithoutTheBody() throws Exception {
+    HttpStandIn a = it.host("a");
+    it.start(LISTENER, CLASSES, pool("a", "", a), CLAIMS);
+    try (Socket s = it.client()) {
+      for (int i = 0; i < 2; i++) {
+        World.write(s, request("HEAD", "/x", "h" + i));
+        String head = head(s);
+        assertThat(head).startsWith("HTTP/1.1 200").containsIgnoringCase("content-length: 64");
+      }
+      World.write(s, request("GET", "/x", "g"));
+      assertThat(World.read(s.getInputStream())).contains("\r\n\r\ng ");
+    }
+  }
+
+  private static String head(Socket s) throws Exception {
+    StringBuilder b = new StringBuilder();
+    while (b.indexOf("\r\n\r\n") < 0) {
+      b.append((char) s.getInputStream().read());
+    }
+    return b.toString();
+  }
+
+  @Test
+  void answersBelow500ArePassedOnAsTheyAre() throws Exception {
+    try (World world = new World(folder, 128)) {
+      World.Host host =
+          world.new Host(
+              h ->
+                  h.contains("/none")
+                      ? "HTTP/1.1 204 No Content\r\n\r\n"
+                      : h.contains("/moved")
+                          ? "HTTP/1.1 302 Found\r\nLocation: /y\r\nContent-Length: 0\r\n\r\n"
+                          : "HTTP/1.1 409 Conflict\r\nContent-Length: 5\r\n\r\ntaken");
+      it.start(LISTENER, CLASSES,
+          "[pool.a]\n[[pool.a.member]]\nid=\"h\"\naddress=\"" + host.address() + "\"", CLAIMS);
+      assertThat(it.ask(request("POST", "/x", "a"))).startsWith("HTTP/1.1 409").endsWith("taken");
+      assertThat(it.ask(request("GET", "/moved", "b"))).startsWith("HTTP/1.1 302").contains("/y");
+      assertThat(it.ask(request("GET", "/none", "c"))).startsWith("HTTP/1.1 204");
+    }
+  }
+
+  private static PrintStream quiet() {
+    return new PrintStream(OutputStream.nullOutputStream(), true, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/src/test/java/corkproxy/daemon/Installation.java
@@ -0,0 +1,133 @@
+package corkproxy.daemon;
+
+import corkproxy.engine.Log;
+import corkproxy.proxy.World;
+import corkproxy.standin.HttpStandIn;
+import corkproxy.standin.Ledger;
+import corkproxy.standin.LoadGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A daemon between stand-ins and clients on loopback, with a file that tests write. */
+final class Installation implements AutoCloseable {
+  final Ledger ledger = new Ledger(1_000_000);
+  final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+  final Path file;
+  private final List<HttpStandIn> hosts = new ArrayList<>();
+  Daemon daemon;
+
+  Installation(Path folder) {
+    file = folder.resolve("leadferry.toml");
+  }
+
+  HttpStandIn host(String name) {
+    return host(HttpStandIn.Options.quick(name));
+  }
+
+  HttpStandIn host(HttpStandIn.Options options) {
+    HttpStandIn h = new HttpStandIn(options, ledger);
+    hosts.add(h);
+    return h;
+  }
+
+  /** A pool with these members; {@code more} are further lines of its table. */
+  static String pool(String name, String more, HttpStandIn... members) {
+    StringBuilder s = new StringBuilder("[pool." + name + "]\n" + more + "\n");
+    for (HttpStandIn h : members) {
+      s.append("[[pool.").append(name).append(".member]]\nid = \"").append(h.name())
+          .append("\"\naddress = \"").append(h.place()).append("\"\npod = \"").append(h.pod())
+          .append("\"\n");
+    }
+    return s.toString();
+  }
+
+  static String route(String name, String prefix, String more) {
+    return "[[route]]\nname = \"" + name + "\"\nprefix = \"" + prefix + "\"\n" + more + "\n";
+  }
+
+  static final String LISTENER = "[listener.main]\naddress = \"127.0.0.1:0\"\n";
+
+  static final String CLASSES =
+      """
+      [class.claim]
+      aim_ms = 1000
+      deadline_ms = 3000
+      [class.list]
+      aim_ms = 1000
+      deadline_ms = 3000
+      repeat = "safe"
+      """;
+
+  void write(String... parts) throws IOException {
+    Files.writeString(file, String.join("\n", parts));
+  }
+
+  void start(String... parts) throws Exception {
+    write(parts);
+    daemon = new Daemon(file, new Log(new PrintStream(logged, true, StandardCharsets.UTF_8)));
+  }
+
+  String log() {
+    return logged.toString(StandardCharsets.UTF_8);
+  }
+
+  InetSocketAddress address() {
+    return daemon.address("main");
+  }
+
+  Socket client() throws IOException {
+    return client(address());
+  }
+
+  static Socket client(InetSocketAddress to) throws IOException {
+    Socket s = new Socket();
+    s.connect(to, World.PATIENCE_MS);
+    s.setSoTimeout(World.PATIENCE_MS);
+    return s;
+  }
+
+  /** A request without a body, with these further header lines. */
+  static String request(String method, String path, String id, String... lines) {
+    return method + " " + path + " HTTP/1.1\r\nHost: api.test\r\nX-Request-ID: " + id + "\r\n"
+        + (method.equals("POST") ? "Content-Length: 0\r\n" : "")
+        + String.join("", java.util.Arrays.stream(lines).map(l -> l + "\r\n").toList()) + "\r\n";
+  }
+
+  /** The whole answer on a connection of its own, or null where that ended without one. */
+  String ask(String request) throws IOException {
+    try (Socket s = client()) {
+      World.write(s, request);
+      return World.read(s.getInputStream());
+    }
+  }
+
+  /** The status of the answer, or 0 for none. */
+  int status(String request) throws IOException {
+    return status0(ask(request));
+  }
+
+  static int status0(String answer) {
+    return answer == null ? 0 : Integer.parseInt(answer.split(" ")[1]);
+  }
+
+  LoadGenerator load(double rate, double seconds, List<LoadGenerator.Kind> kinds) {
+    return new LoadGenerator(
+        new LoadGenerator.Plan(address(), rate, seconds, 128, 1, kinds, "load-"), null);
+  }
+
+  @Override
+  public void close() {
+    if (daemon != null) {
+      daemon.close();
+    }
+    hosts.forEach(HttpStandIn::close);
+  }
+}
--- a/src/test/java/corkproxy/proxy/ProxyTest.java
+++ b/src/test/java/corkproxy/proxy/ProxyTest.java
@@ -5,6 +5,7 @@
 import static corkproxy.proxy.World.write;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import corkproxy.engine.Signals;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -22,9 +22,9 @@
 import java.util.function.Function;
 
 /** A client proxy between hosts, a discovery and clients, all on loopback sockets. */
-final class World implements AutoCloseable {
+public final class World implements AutoCloseable {
   /** Ample: no test waits so long unless it fails. */
-  static final int PATIENCE_MS = 20_000;
+  public static final int PATIENCE_MS = 20_000;
 
   private final List<Server> servers = new CopyOnWriteArrayList<>();
   private final Path file;
@@ -32,13 +32,13 @@
   int aim = 400;
   Proxy proxy;
 
-  World(Path folder, int sockets) {
+  public World(Path folder, int sockets) {
     this.file = folder.resolve("config.json");
     this.sockets = sockets;
   }
 
   /** A server of one thread a connection; what it does with each is the sub-class's. */
-  abstract class Server {
+  public abstract class Server {
     final ServerSocket listener;
     final List<Socket> open = new CopyOnWriteArrayList<>();
 
@@ -55,7 +55,7 @@
           });
     }
 
-    String address() {
+    public String address() {
       return "127.0.0.1:" + listener.getLocalPort();
     }
 
@@ -63,7 +63,7 @@
   }
 
   /** A host that answers each request as told; null leaves it without an answer. */
-  class Host extends Server {
+  public class Host extends Server {
     private final Function<String, String> answers;
     final List<String> heads = new CopyOnWriteArrayList<>();
     String kind = "k";
@@ -71,7 +71,7 @@
     /** Requests that came on a connection less than 5 ms after an answer on it had begun. */
     final AtomicInteger reusedAtOnce = new AtomicInteger();
 
-    Host(Function<String, String> answers) throws IOException {
+    public Host(Function<String, String> answers) throws IOException {
       this.answers = answers;
     }
 
@@ -219,12 +219,12 @@
         + "\r\n";
   }
 
-  static String ok(String body, String... lines) {
+  public static String ok(String body, String... lines) {
     String more = lines.length == 0 ? "" : String.join("\r\n", lines) + "\r\n";
     return "HTTP/1.1 200 OK\r\n" + more + "Content-Length: " + body.length() + "\r\n\r\n" + body;
   }
 
-  static void write(Socket s, String text) throws IOException {
+  public static void write(Socket s, String text) throws IOException {
     s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
   }
 
@@ -237,7 +237,7 @@
   }
 
   /** One message with its body, or null at the end of the stream. */
-  static String read(InputStream in) throws IOException {
+  public static String read(InputStream in) throws IOException {
     ByteArrayOutputStream head = new ByteArrayOutputStream();
     String text;
     do {
@@ -265,7 +265,7 @@
   }
 
   /** Whether the other side ends the connection; what it sends before is passed over. */
-  static boolean ends(Socket s) throws IOException {
+  public static boolean ends(Socket s) throws IOException {
     try {
       while (s.getInputStream().read() >= 0) {
         // passed over
@@ -278,7 +278,7 @@
     }
   }
 
-  static void await(BooleanSupplier what) throws InterruptedException {
+  public static void await(BooleanSupplier what) throws InterruptedException {
     long until = System.nanoTime() + PATIENCE_MS * 1_000_000L;
     while (!what.getAsBoolean() && System.nanoTime() < until) {
       Thread.sleep(10);
--- /dev/null
+++ b/src/test/java/corkproxy/routing/RouteTableTest.java
@@ -0,0 +1,218 @@
+package corkproxy.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.re2j.Pattern;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RouteTableTest {
+  private record Request(
+      String host, String path, String method, String className, Map<String, String> headers)
+      implements Subject {
+    @Override
+    public String header(String name) {
+      return headers.get(name);
+    }
+  }
+
+  private static Request get(String host, String path) {
+    return new Request(host, path, "GET", null, Map.of());
+  }
+
+  private static Rule<Integer> rule(String name, Rule.Kind kind, String path, String... hosts) {
+    return new Rule<>(
+        name, hosts.length == 0 ? List.of("*") : List.of(hosts), kind, path, Set.of(), Map.of(), Set.of(), 0);
+  }
+
+  private static Rule<Integer> with(
+      Rule<Integer> r, Set<String> methods, Map<String, String> headers, Set<String> classes) {
+    return new Rule<>(r.name(), r.hosts(), r.kind(), r.path(), methods, headers, classes, 0);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "/visits, exact", "/visits/, prefix", "/visits/7, regex", "/visits/x, prefix",
+    "/visits/x/deep, deeper", "/visits/x/deeply, prefix", "/visitsx, root", "/, root",
+  })
+  void thePathIsExactThenARegularExpressionThenTheLongestPrefix(String path, String wins) {
+    RouteTable<Integer> t =
+        new RouteTable<>(
+            List.of(
+                rule("root", Rule.Kind.PREFIX, "/"),
+                rule("prefix", Rule.Kind.PREFIX, "/visits/"),
+                rule("deeper", Rule.Kind.PREFIX, "/visits/x/deep"),
+                rule("regex", Rule.Kind.REGEX, "/visits/[0-9]+"),
+                rule("exact", Rule.Kind.EXACT, "/visits")));
+    assertThat(t.find(get("a", path)).name()).isEqualTo(wins);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "a.test, exact", "x.a.test, suffix", "y.x.a.test, longer", "x.b.test, short", "a.org, lead",
+    "a.b.org, longlead", "else, any", "'', any", "test, any", ".a.test, short"
+  })
+  void theHostIsExactThenTheLongestSuffixThenTheLongestPrefix(String host, String wins) {
+    RouteTable<Integer> t =
+        new RouteTable<>(
+            List.of(
+                rule("any", Rule.Kind.PREFIX, "/"),
+                rule("short", Rule.Kind.PREFIX, "/", "*.test"),
+                rule("suffix", Rule.Kind.PREFIX, "/", "*.a.test"),
+                rule("longer", Rule.Kind.PREFIX, "/", "*.x.a.test"),
+                rule("lead", Rule.Kind.PREFIX, "/", "a.*"),
+                rule("longlead", Rule.Kind.PREFIX, "/", "a.b.*"),
+                rule("exact", Rule.Kind.PREFIX, "/", "a.test")));
+    assertThat(t.find(get(host, "/")).name()).isEqualTo(wins);
+  }
+
+  @Test
+  void thereIsNoWayBackToALessParticularHost() {
+    RouteTable<Integer> t =
+        new RouteTable<>(
+            List.of(rule("any", Rule.Kind.PREFIX, "/"), rule("one", Rule.Kind.EXACT, "/x", "a.test")));
+    assertThat(t.find(get("a.test", "/y"))).isNull();
+  }
+
+  @Test
+  void ofOnePathTheOneWithMostConditionsThatHoldWins() {
+    Rule<Integer> base = rule("plain", Rule.Kind.PREFIX, "/a");
+    RouteTable<Integer> t =
+        new RouteTable<>(
+            List.of(
+                base,
+                with(rule("post", Rule.Kind.PREFIX, "/a"), Set.of("POST"), Map.of(), Set.of()),
+                with(rule("both", Rule.Kind.PREFIX, "/a"), Set.of("POST"), Map.of("x", "1"), Set.of()),
+                with(rule("class", Rule.Kind.PREFIX, "/a/b"), Set.of(), Map.of(), Set.of("log"))));
+    assertThat(t.find(get("h", "/a/b")).name()).isEqualTo("plain"); // on to the shorter prefix
+    assertThat(t.find(new Request("h", "/a/b", "GET", "log", Map.of())).name()).isEqualTo("class");
+    assertThat(t.find(new Request("h", "/a", "POST", null, Map.of())).name()).isEqualTo("post");
+    assertThat(t.find(new Request("h", "/a", "POST", null, Map.of("x", "1"))).name()).isEqualTo("both");
+    assertThat(t.find(new Request("h", "/a", "POST", null, Map.of("x", "2"))).name()).isEqualTo("post");
+  }
+
+  /** The order of precedence written down once more, as slowly as can be. */
+  private static Rule<Integer> slowly(List<Rule<Integer>> rules, Request r) {
+    String host =
+        rules.stream()
+            .flatMap(x -> x.hosts().stream())
+            .filter(h -> hostMatches(h, r.host()))
+            .max(Comparator.comparingInt(h -> h.equals("*") ? 0 : h.endsWith(".*") ? 1_000 + h.length()
+                : h.startsWith("*.") ? 2_000 + h.length() : 3_000))
+            .orElse("*");
+    Comparator<Integer> order =
+        Comparator.<Integer>comparingInt(
+                i -> switch (rules.get(i).kind()) { case EXACT -> 0; case REGEX -> 1; case PREFIX -> 2; })
+            .thenComparingInt(i -> rules.get(i).kind() == Rule.Kind.PREFIX ? -rules.get(i).path().length() : 0)
+            .thenComparingInt(i -> rules.get(i).kind() == Rule.Kind.REGEX ? 0 : -rules.get(i).conditions())
+            .thenComparingInt(i -> i);
+    return IntStream.range(0, rules.size())
+        .boxed()
+        .filter(i -> rules.get(i).hosts().contains(host) && pathMatches(rules.get(i), r.path())
+            && rules.get(i).holds(r))
+        .min(order)
+        .map(rules::get)
+        .orElse(null);
+  }
+
+  private static boolean hostMatches(String pattern, String host) {
+    return pattern.equals("*")
+        || pattern.equals(host)
+        || pattern.startsWith("*.") && host.length() > pattern.length() - 1 && host.endsWith(pattern.substring(1))
+        || pattern.endsWith(".*") && host.length() > pattern.length() - 1
+            && host.startsWith(pattern.substring(0, pattern.length() - 1));
+  }
+
+  private static boolean pathMatches(Rule<Integer> r, String path) {
+    return switch (r.kind()) {
+      case EXACT -> path.equals(r.path());
+      case REGEX -> Pattern.matches(r.path(), path);
+      case PREFIX -> path.equals(r.path()) || path.startsWith(r.path() + "/");
+    };
+  }
+
+  private static final String[] HOSTS = {"*", "a.b", "*.b", "*.a.b", "a.*", "c"};
+  private static final String[] PATHS = {"/", "/a", "/a/b", "/a/b/c", "/b", "/ab"};
+  private static final String[] REGEXES = {"/a.*", "/[ab]+", "/.*/c", "/a/b"};
+
+  private static List<Rule<Integer>> randomRules(SplittableRandom random) {
+    List<Rule<Integer>> rules = new ArrayList<>();
+    int n = 1 + random.nextInt(12);
+    for (int i = 0; i < n; i++) {
+      Rule.Kind kind = Rule.Kind.values()[random.nextInt(3)];
+      String path = kind == Rule.Kind.REGEX ? REGEXES[random.nextInt(REGEXES.length)] : PATHS[random.nextInt(PATHS.length)];
+      rules.add(
+          with(
+              rule("r" + i, kind, path, HOSTS[random.nextInt(HOSTS.length)]),
+              random.nextInt(3) == 0 ? Set.of(random.nextBoolean() ? "GET" : "POST") : Set.of(),
+              random.nextInt(4) == 0 ? Map.of("x", random.nextBoolean() ? "1" : "*") : Map.of(),
+              random.nextInt(4) == 0 ? Set.of("log") : Set.of()));
+    }
+    return rules;
+  }
+
+  private static Request randomRequest(SplittableRandom random) {
+    String[] hosts = {"", "c", "a.b", "x.b", "x.a.b", "a.x", "d"};
+    String[] paths = {"/", "/a", "/a/", "/a/b", "/a/b/c", "/a/b/cd", "/b/x", "/ab", "/abba", "/c"};
+    return new Request(
+        hosts[random.nextInt(hosts.length)], paths[random.nextInt(paths.length)],
+        random.nextBoolean() ? "GET" : "POST", random.nextBoolean() ? "log" : null,
+        random.nextBoolean() ? Map.of("x", random.nextBoolean() ? "1" : "2") : Map.of());
+  }
+
+  @Test
+  void theTableFindsWhatTheOrderOfPrecedenceSays() {
+    SplittableRandom random = new SplittableRandom(42);
+    int found = 0;
+    for (int i = 0; i < 3_000; i++) {
+      List<Rule<Integer>> rules = randomRules(random);
+      RouteTable<Integer> t = new RouteTable<>(rules);
+      for (int j = 0; j < 20; j++) {
+        Request r = randomRequest(random);
+        Rule<Integer> expected = slowly(rules, r);
+        assertThat(t.find(r)).as("%s of %s", r, rules).isSameAs(expected);
+        found += expected == null ? 0 : 1;
+      }
+    }
+    assertThat(found).isGreaterThan(10_000);
+  }
+
+  @Test
+  void aRouteThatIsSaidToBeShadowedNeverWins() {
+    SplittableRandom random = new SplittableRandom(7);
+    int shadowed = 0;
+    for (int i = 0; i < 2_000; i++) {
+      List<Rule<Integer>> rules = randomRules(random);
+      RouteTable<Integer> t = new RouteTable<>(rules);
+      for (RouteCheck.Shadowed s : RouteCheck.shadowed(rules)) {
+        shadowed++;
+        for (int j = 0; j < 50; j++) {
+          assertThat(t.find(randomRequest(random))).as("%s", rules).isNotSameAs(rules.get(s.route()));
+        }
+      }
+    }
+    assertThat(shadowed).isGreaterThan(100);
+  }
+
+  @Test
+  void twinsAndWhatStandsBehindACatchAllAreTold() {
+    List<Rule<Integer>> rules =
+        List.of(
+            rule("a", Rule.Kind.PREFIX, "/a"),
+            rule("twin", Rule.Kind.PREFIX, "/a/"),
+            rule("all", Rule.Kind.REGEX, "/.*", "x"),
+            rule("behind", Rule.Kind.PREFIX, "/b", "x"),
+            rule("also", Rule.Kind.PREFIX, "/b", "x", "y"),
+            rule("exact", Rule.Kind.EXACT, "/b", "x"));
+    assertThat(RouteCheck.shadowed(rules))
+        .containsExactly(new RouteCheck.Shadowed(1, 0), new RouteCheck.Shadowed(3, 2));
+  }
+}
