--- a/src/main/java/corkproxy/adapter/SettingsReader.java
+++ b/src/main/java/corkproxy/adapter/SettingsReader.java
@@ -46,7 +46,6 @@
     }
     JsonNode limits = root.path("limits");
     JsonNode rules = root.path("rules");
-    JsonNode fees = root.path("fees");
     JsonNode zone = root.path("zone");
     return new Settings(
         classes,
@@ -64,9 +63,6 @@
             rules.path("fall").asDouble(0),
             rules.path("fallMultiple").asDouble(1),
             rules.path("askWithin").asDouble(0)),
-        new Settings.Fees(
-            fees.path("crossZone").asDouble(0),
-            fees.path("waste").asDouble(0)),
         root.path("membershipMode").asText("automatic").equals("subscribe"),
         zone.isTextual() ? zone.asText() : null,
         root.path("position").asInt(0),
--- a/src/main/java/corkproxy/balancer/LoadReport.java
+++ b/src/main/java/corkproxy/balancer/LoadReport.java
@@ -8,10 +8,6 @@
     double latencyMs,
     double served,
     double failRate) {
-  /** A report in which nothing is known. */
-  public static final LoadReport NONE =
-      new LoadReport(Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
-
   /** Requests the host holds, from whichever figure tells it, or {@code NaN}. */
   public double held() {
     return Double.isNaN(inFlight) ? queued : inFlight;
--- a/src/main/java/corkproxy/balancer/Settings.java
+++ b/src/main/java/corkproxy/balancer/Settings.java
@@ -8,7 +8,6 @@
     List<Tenant> tenants,
     Limits limits,
     Rules rules,
-    Fees fees,
     boolean mustFollow,
     String zone,
     int position,
@@ -26,7 +25,7 @@
   /** The same for the instance at this position of the tier. */
   public Settings at(int place) {
     return new Settings(
-        classes, tenants, limits, rules, fees, mustFollow, zone, place, balancers, overShareWorth,
+        classes, tenants, limits, rules, mustFollow, zone, place, balancers, overShareWorth,
         worthByWork);
   }
 
@@ -83,7 +82,4 @@
   /** The figures of the drain and cold-host rules. */
   public record Rules(
       double cold, double startCapacity, double fall, double fallMultiple, double askWithin) {}
-
-  /** Prices that bear on choices. */
-  public record Fees(double crossZone, double waste) {}
 }
--- a/src/main/java/corkproxy/daemon/OperatorFile.java
+++ b/src/main/java/corkproxy/daemon/OperatorFile.java
@@ -289,7 +289,6 @@
                   cold.number("fall_ms", 1_500, 1, 600_000),
                   cold.number("fall_multiple", 3, 1, 100),
                   0),
-              new Settings.Fees(0, 0),
               false,
               zone.equals("-") ? null : zone,
               process.instance() * process.workers(),
--- a/src/test/java/corkproxy/balancer/BalancerTest.java
+++ b/src/test/java/corkproxy/balancer/BalancerTest.java
@@ -329,7 +329,7 @@
     Settings s = Bench.settings(Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL));
     Settings many =
         new Settings(
-            s.classes(), s.tenants(), s.limits(), s.rules(), s.fees(), false, "a", 17, 1_500, 1,
+            s.classes(), s.tenants(), s.limits(), s.rules(), false, "a", 17, 1_500, 1,
             false);
     Balancer b = balancer(many, Bench.hosts(40));
     for (int i = 0; i < 500; i++) {
--- a/src/test/java/corkproxy/balancer/Bench.java
+++ b/src/test/java/corkproxy/balancer/Bench.java
@@ -45,7 +45,6 @@
         tenants,
         new Settings.Limits(true, true, parallel, maxAttempts, 1_000, 1),
         new Settings.Rules(8_000, 0.3, 1_500, 3, 10_000),
-        new Settings.Fees(0, 0),
         mustFollow,
         "a",
         0,
--- /dev/null
+++ b/src/test/java/corkproxy/bench/PickBenchmark.java
@@ -0,0 +1,106 @@
+package corkproxy.bench;
+
+import corkproxy.balancer.Actions;
+import corkproxy.balancer.Arrival;
+import corkproxy.balancer.Balancer;
+import corkproxy.balancer.HostEntry;
+import corkproxy.balancer.News;
+import corkproxy.balancer.Result;
+import corkproxy.balancer.Settings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** What the module costs a request: its arrival, the pick, its outcome, with 16 open at a time. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class PickBenchmark {
+  private static final int OPEN = 16;
+
+  @Param({"30", "3000"})
+  public int hosts;
+
+  private Balancer balancer;
+  private double now = 1e6;
+  private long id;
+
+  static Settings settings() {
+    return new Settings(
+        List.of(
+            new Settings.RequestClass(
+                "c", 400, 800, Settings.Semantics.AT_MOST_ONCE, Settings.Scope.CELL, 0, 1, 0, false)),
+        List.of(),
+        new Settings.Limits(true, true, false, 3, 0, 1),
+        new Settings.Rules(0, 1, 1_000, 3, 0),
+        false,
+        null,
+        0,
+        1,
+        1,
+        false);
+  }
+
+  static List<HostEntry> entries(int n) {
+    List<HostEntry> out = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      out.add(new HostEntry(i + 1, "z", "k", i / 8, HostEntry.Condition.READY, 1, 0));
+    }
+    return out;
+  }
+
+  /** Does nothing: what is measured is the decision. */
+  static class Nothing implements Actions {
+    @Override
+    public void send(long request, long host, double giveUpAfter) {}
+
+    @Override
+    public void refuse(long request, double coolDown) {}
+
+    @Override
+    public void fail(long request) {}
+
+    @Override
+    public void cancel(long request, int attempt) {}
+
+    @Override
+    public void schedule(double delay, long token) {}
+
+    @Override
+    public void follow() {}
+
+    @Override
+    public void log(String line) {}
+  }
+
+  @Setup
+  public void build() {
+    balancer = new Balancer(settings(), 1, new Nothing());
+    balancer.onStart(now);
+    balancer.onMembership(now, News.FULL, entries(hosts));
+    for (int i = 0; i < OPEN; i++) {
+      balancer.onRequest(now, new Arrival(id++, "c", null, 800, Double.NaN, false));
+    }
+  }
+
+  @Benchmark
+  public void requestAndOutcome() {
+    now += 0.5;
+    balancer.onOutcome(now, id - OPEN, 0, Result.OK, 8, true, null);
+    balancer.onRequest(now, new Arrival(id++, "c", null, 800, Double.NaN, false));
+  }
+}
--- /dev/null
+++ b/src/test/java/corkproxy/bench/RouteBenchmark.java
@@ -0,0 +1,97 @@
+package corkproxy.bench;
+
+import corkproxy.routing.RouteTable;
+import corkproxy.routing.Rule;
+import corkproxy.routing.Subject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** The look-up of a route among few and many; the baseline is a look-up in a {@code HashMap}. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class RouteBenchmark {
+  /** Requests to go through, so that the table does not stay in the first cache. */
+  private static final int REQUESTS = 4_096;
+
+  @Param({"10", "1000", "100000"})
+  public int routes;
+
+  private RouteTable<Integer> table;
+  private final Request[] exact = new Request[REQUESTS];
+  private final Request[] prefix = new Request[REQUESTS];
+  private final Map<String, Integer> map = new java.util.HashMap<>();
+  private int at;
+
+  private record Request(String host, String path) implements Subject {
+    @Override
+    public String method() {
+      return "GET";
+    }
+
+    @Override
+    public String className() {
+      return null;
+    }
+
+    @Override
+    public String header(String name) {
+      return null;
+    }
+  }
+
+  private static String path(int i) {
+    return "/office" + i % 97 + "/team" + i % 1_009 + "/visits" + i;
+  }
+
+  @Setup
+  public void build() {
+    List<Rule<Integer>> rules = new ArrayList<>();
+    for (int i = 0; i < routes; i++) {
+      Rule.Kind kind = i % 2 == 0 ? Rule.Kind.EXACT : Rule.Kind.PREFIX;
+      rules.add(new Rule<>("r" + i, List.of("api.test"), kind, path(i), Set.of(), Map.of(), Set.of(), i));
+      map.put(path(i), i);
+    }
+    table = new RouteTable<>(rules);
+    SplittableRandom random = new SplittableRandom(1);
+    for (int i = 0; i < REQUESTS; i++) {
+      int r = 2 * random.nextInt(routes / 2);
+      // Paths come from the wire: no string of the table's is asked for, nor one whose hash is known.
+      exact[i] = new Request("api.test", new String(path(r).toCharArray()));
+      prefix[i] = new Request("api.test", path(r + 1) + "/7f3a/log");
+    }
+  }
+
+  @Benchmark
+  public Object exact() {
+    return table.find(exact[at++ & REQUESTS - 1]);
+  }
+
+  @Benchmark
+  public Object prefix() {
+    return table.find(prefix[at++ & REQUESTS - 1]);
+  }
+
+  @Benchmark
+  public Object baselineHashMap() {
+    return map.get(exact[at++ & REQUESTS - 1].path());
+  }
+}
