Read whole numbers of headers in one place

Need: the platform's gate and the daemon's had a copy each of the same reader. Change: both call Framing.whole; behaviour as it was.

--- a/src/main/java/corkproxy/daemon/DaemonGate.java
+++ b/src/main/java/corkproxy/daemon/DaemonGate.java
@@ -31,8 +31,6 @@
   /** A host name, or an address in brackets, with a port or none. */
   private static final int MAX_HOST = 255;
 
-  private static final int MAX_DIGITS = 9;
-
   private final Worker worker;
   private final Version version;
   private final DaemonConfig.Listener listener;
@@ -131,7 +129,7 @@
     }
     double timeout = type.deadline();
     if (h.contains("X-Timeout-Ms")) {
-      timeout = Math.min(timeout, whole(Framing.single(h, "X-Timeout-Ms")));
+      timeout = Math.min(timeout, Framing.whole(Framing.single(h, "X-Timeout-Ms")));
     }
     if (!(timeout >= 1)) {
       return Verdict.answer(400, 0);
@@ -263,12 +261,4 @@
     }
     return true;
   }
-
-  /** A whole number that is not negative, or NaN; what does not fit is more than anyone waits. */
-  private static double whole(String s) {
-    if (s == null || s.isEmpty() || !s.chars().allMatch(c -> c >= '0' && c <= '9')) {
-      return Double.NaN;
-    }
-    return s.length() > MAX_DIGITS ? Double.MAX_VALUE : Integer.parseInt(s);
-  }
 }
--- a/src/main/java/corkproxy/http/Framing.java
+++ b/src/main/java/corkproxy/http/Framing.java
@@ -13,6 +13,8 @@
  * connections, against whatever could be read in two ways (RFC 9112, request smuggling).
  */
 public final class Framing {
+  private static final int MAX_DIGITS = 9;
+
   private Framing() {}
 
   /** The status to reject the head with, or 0; {@code folded} tells of a line continued. */
@@ -38,4 +40,12 @@
     List<String> all = h.getAll(name);
     return all.size() == 1 ? all.get(0).trim() : null;
   }
+
+  /** A whole number that is not negative, or NaN; what does not fit is more than anyone waits. */
+  public static double whole(String s) {
+    if (s == null || s.isEmpty() || !s.chars().allMatch(c -> c >= '0' && c <= '9')) {
+      return Double.NaN;
+    }
+    return s.length() > MAX_DIGITS ? Double.MAX_VALUE : Integer.parseInt(s);
+  }
 }
--- a/src/main/java/corkproxy/proxy/PlatformGate.java
+++ b/src/main/java/corkproxy/proxy/PlatformGate.java
@@ -20,7 +20,6 @@
  */
 final class PlatformGate implements Gate {
   private static final int MAX_ID = 128;
-  private static final int MAX_DIGITS = 9;
   private static final String HEALTH = "/_health";
 
   private final Dispatcher pool;
@@ -73,7 +72,7 @@
     }
     double timeout = type.deadline();
     if (h.contains("X-Timeout-Ms")) {
-      timeout = Math.min(timeout, whole(Framing.single(h, "X-Timeout-Ms")));
+      timeout = Math.min(timeout, Framing.whole(Framing.single(h, "X-Timeout-Ms")));
     }
     if (Double.isNaN(timeout)) {
       return Verdict.reject(400);
@@ -108,12 +107,4 @@
     }
     return path.substring(from, to);
   }
-
-  /** A whole number that is not negative, or NaN; what does not fit is more than anyone waits. */
-  private static double whole(String s) {
-    if (s == null || s.isEmpty() || !s.chars().allMatch(c -> c >= '0' && c <= '9')) {
-      return Double.NaN;
-    }
-    return s.length() > MAX_DIGITS ? Double.MAX_VALUE : Integer.parseInt(s);
-  }
 }
