--- a/src/main/java/corkproxy/daemon/OperatorFile.java
+++ b/src/main/java/corkproxy/daemon/OperatorFile.java
@@ -19,7 +19,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.CharacterCodingException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
--- a/src/main/java/corkproxy/daemon/Section.java
+++ b/src/main/java/corkproxy/daemon/Section.java
@@ -50,18 +50,10 @@
     }
   }
 
-  String path() {
-    return path;
-  }
-
   String path(String key) {
     return path.isEmpty() ? key : path + "." + key;
   }
 
-  boolean present() {
-    return node.isObject();
-  }
-
   boolean has(String key) {
     return node.has(key);
   }
--- a/src/main/java/corkproxy/limits/BucketTable.java
+++ b/src/main/java/corkproxy/limits/BucketTable.java
@@ -67,10 +67,6 @@
     return overflow;
   }
 
-  boolean isOverflow(Bucket b) {
-    return b == overflow;
-  }
-
   private int set(long key) {
     return ((int) (key ^ key >>> 32) & setMask) * WAYS;
   }
--- a/src/main/java/corkproxy/limits/Limiter.java
+++ b/src/main/java/corkproxy/limits/Limiter.java
@@ -1,6 +1,5 @@
 package corkproxy.limits;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -97,14 +96,12 @@
       Bucket b = tables[i].enter(key(l, caller, parent), parent, now);
       taken[count++] = b;
       at[i] = b;
-      double wait = check(l, b, now);
+      double wait = check(l, b);
       if (wait == 0 && parent != null) {
         wait = checkShare(limits.get(parents[i]), parent, b, now);
       }
       if (wait > 0) {
-        for (int j = count - 1; j >= 0; j--) {
-          taken[j].leave();
-        }
+        Grant.of(taken, count).release();
         return Grant.refused(l.name(), wait);
       }
     }
@@ -114,9 +111,7 @@
       if (at[i] != null && l.perSecond() > 0) {
         long wait = at[i].pass(now, l.perSecond(), l.burst());
         if (wait > 0) {
-          for (int j = count - 1; j >= 0; j--) {
-            taken[j].leave();
-          }
+          Grant.of(taken, count).release();
           return Grant.refused(l.name(), Math.max(1, wait / 1e6));
         }
       }
@@ -124,7 +119,7 @@
     return Grant.of(taken, count);
   }
 
-  private static double check(Limit l, Bucket b, long now) {
+  private static double check(Limit l, Bucket b) {
     return l.concurrency() > 0 && b.inUse() > l.concurrency() ? COME_BACK_MS : 0;
   }
 
--- a/src/main/java/corkproxy/standin/LoadGenerator.java
+++ b/src/main/java/corkproxy/standin/LoadGenerator.java
@@ -184,6 +184,7 @@
     private final int most;
     private final double interval;
     private final double[] debt;
+    private final double parts = plan.kinds().stream().mapToDouble(Kind::part).sum();
     private final java.util.Set<Connection> busy = new java.util.HashSet<>();
     private long startAt;
     private long countAt;
@@ -252,11 +253,7 @@
         debt[i] += plan.kinds().get(i).part();
         kind = debt[i] > debt[kind] ? i : kind;
       }
-      double sum = 0;
-      for (Kind k : plan.kinds()) {
-        sum += k.part();
-      }
-      debt[kind] -= sum;
+      debt[kind] -= parts;
       long wait = plan.kinds().get(kind).deadlineMs() * 1_000_000L + PATIENCE_NANOS;
       return new Request(plan.idPrefix() + number + "-" + made, kind, due, due + wait);
     }
