Turn away a request whose Connection names a header that was judged

Cause: Connection: Idempotency-Key made the front remove the key before the request went out, after the gate had judged it as keyed. Host and X-Request-ID went the same way, and options past the sixteenth stood as one piece. Tabs, several spaces, hTTP/1.1 and unknown expectations were taken.

Change: one table of the headers that are judged, which a gate adds to; a Connection option that names one gets 400 and a line in the log. A strict scanner reads each head's bytes beside netty's decoder. Class, tenant and split headers that stand twice get 400, an unknown Expect 417.

--- a/src/main/java/corkproxy/daemon/DaemonGate.java
+++ b/src/main/java/corkproxy/daemon/DaemonGate.java
@@ -18,9 +18,11 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -35,6 +37,7 @@
   private final Version version;
   private final DaemonConfig.Listener listener;
   private final corkproxy.routing.RouteTable<Version.Target> routes;
+  private final Set<String> judged;
   private final View view = new View();
   private final SplittableRandom random = new SplittableRandom();
 
@@ -42,6 +45,7 @@
     this.worker = worker;
     this.version = version;
     this.listener = listener;
+    this.judged = judged(version.config, listener);
     this.routes = version.routes.get(listener.name());
   }
 
@@ -78,6 +82,25 @@
     }
   }
 
+  @Override
+  public Set<String> judgesBy() {
+    return judged;
+  }
+
+  /** What decides or changes anything on its way through: the file's own headers. */
+  private static Set<String> judged(DaemonConfig config, DaemonConfig.Listener listener) {
+    Set<String> names = new HashSet<>();
+    names.add(listener.classHeader().toLowerCase(Locale.ROOT));
+    names.add(listener.tenantHeader().toLowerCase(Locale.ROOT));
+    for (DaemonConfig.Route r : config.routes()) {
+      names.add(r.splitHeader().toLowerCase(Locale.ROOT));
+      names.addAll(r.match().headers().keySet());
+      r.setHeaders().keySet().forEach(n -> names.add(n.toLowerCase(Locale.ROOT)));
+      r.removeHeaders().forEach(n -> names.add(n.toLowerCase(Locale.ROOT)));
+    }
+    return Set.copyOf(names);
+  }
+
   @Override
   public boolean ready() {
     return !worker.draining();
@@ -134,6 +157,11 @@
     if (!(timeout >= 1)) {
       return Verdict.answer(400, 0);
     }
+    if (doubled(h, listener.classHeader())
+        || doubled(h, listener.tenantHeader())
+        || doubled(h, route.splitHeader())) {
+      return Verdict.answer(400, 0); // a host may go by the other one
+    }
     String tenant = h.get(listener.tenantHeader(), "");
     String address = client == null ? "" : client.getAddress().getHostAddress();
     Grant grant =
@@ -155,6 +183,10 @@
         target, arrival, fallback(route.fallback(), 0, pool, arrival, safe), grant::release);
   }
 
+  private static boolean doubled(HttpHeaders h, String name) {
+    return h.contains(name) && h.getAll(name).size() > 1;
+  }
+
   /** The worker's pool, which counts what comes to it. */
   private Dispatcher take(String pool) {
     Version.Pool p = version.pools.get(pool);
--- a/src/main/java/corkproxy/daemon/OperatorFile.java
+++ b/src/main/java/corkproxy/daemon/OperatorFile.java
@@ -11,6 +11,7 @@
 import corkproxy.balancer.Settings;
 import corkproxy.engine.Addresses;
 import corkproxy.engine.Hosts;
+import corkproxy.http.Headers;
 import corkproxy.limits.Limit;
 import corkproxy.routing.PathForm;
 import corkproxy.routing.RouteCheck;
@@ -44,11 +45,6 @@
   private static final String NAME = "[A-Za-z0-9_][A-Za-z0-9_.-]{0,63}";
   private static final String TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+";
 
-  /** Headers that frame a message or name its connection: no route may touch them. */
-  private static final Set<String> FRAMING =
-      Set.of("host", "content-length", "transfer-encoding", "connection", "x-timeout-ms", "te",
-          "upgrade", "trailer", "expect", "idempotency-key", "x-request-id");
-
   private final Section.Source source;
   private final Section root;
   private final Set<String> listenerNames = new LinkedHashSet<>();
@@ -429,7 +425,7 @@
   }
 
   private static void header(Section s, String key, String name) {
-    if (!name.matches(TOKEN) || FRAMING.contains(name.toLowerCase(Locale.ROOT))) {
+    if (!name.matches(TOKEN) || Headers.FRAMING.contains(name.toLowerCase(Locale.ROOT))) {
       s.fault(key, "'" + name + "'", "a header that does not frame the message");
     }
   }
--- a/src/main/java/corkproxy/http/ClientConnection.java
+++ b/src/main/java/corkproxy/http/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -24,22 +25,21 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
-import io.netty.util.ByteProcessor;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /** A connection of the application's: reads its requests one by one and writes their answers. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
-  /** Tells since when part of a request has come, and what netty takes without a word. */
-  static final class Decoder extends HttpRequestDecoder implements ByteProcessor {
+  /** Tells since when part of a request has come, and reads heads by the letter. */
+  static final class Decoder extends HttpRequestDecoder {
+    private final HeadScanner scanner = new HeadScanner();
     private boolean receiving;
     private long since;
     private boolean inHead = true;
-    private boolean anyLine;
-    private boolean emptyLine = true;
-    private boolean folded;
+    private int scanned;
     private boolean removed;
 
     Decoder() {
@@ -52,24 +52,38 @@
         receiving = true;
         since = System.nanoTime();
       }
-      if (inHead) {
-        ((ByteBuf) msg).forEachByte(this);
-      }
       super.channelRead(ctx, msg);
     }
 
-    /** Looks for obsolete folding; ends with the head. */
     @Override
-    public boolean process(byte b) {
-      if (b == '\n') {
-        inHead = !(anyLine && emptyLine);
-        anyLine |= !emptyLine;
-        emptyLine = true;
-      } else if (b != '\r') {
-        folded |= anyLine && emptyLine && (b == ' ' || b == '\t');
-        emptyLine = false;
+    protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
+        throws Exception {
+      if (inHead) {
+        scan(buffer);
+        if (scanner.faulty()) {
+          buffer.skipBytes(buffer.readableBytes());
+          HttpMessage faulty = createInvalidMessage();
+          faulty.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("head")));
+          out.add(faulty);
+          return;
+        }
       }
-      return inHead;
+      int from = buffer.readerIndex();
+      super.decode(ctx, buffer, out);
+      scanned = Math.max(0, scanned - (buffer.readerIndex() - from));
+      if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
+        scanner.reset();
+        inHead = true;
+        scanned = 0;
+      }
+    }
+
+    /** Reads on in the present head, from where it was left. */
+    private void scan(ByteBuf buffer) {
+      int from = buffer.readerIndex() + scanned;
+      int end = buffer.forEachByte(from, buffer.writerIndex() - from, scanner);
+      scanned = (end < 0 ? buffer.writerIndex() : end + 1) - buffer.readerIndex();
+      inHead = !scanner.done();
     }
 
     @Override
@@ -91,10 +105,6 @@
     /** The request has come whole; true if more bytes have come behind it. */
     boolean completed() {
       receiving = false;
-      inHead = true;
-      anyLine = false;
-      emptyLine = true;
-      folded = false;
       return actualReadableBytes() > 0;
     }
   }
@@ -222,7 +232,7 @@
   private void begin(HttpRequest request) {
     head = request;
     closing = !HttpUtil.isKeepAlive(request);
-    int fault = Framing.fault(request, decoder.folded, front.settings().maxBody());
+    int fault = Framing.fault(request, front.gate().judgesBy(), front.settings().maxBody());
     verdict =
         fault != 0
             ? Verdict.reject(fault)
--- a/src/main/java/corkproxy/http/Framing.java
+++ b/src/main/java/corkproxy/http/Framing.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
+import java.util.Set;
 
 /**
  * What has to hold of any request's head. Guards hosts, and the other clients that share their
@@ -17,21 +18,26 @@
 
   private Framing() {}
 
-  /** The status to reject the head with, or 0; {@code folded} tells of a line continued. */
-  static int fault(HttpRequest request, boolean folded, int maxBody) {
+  /** The status to reject the head with, or 0; {@code judged} are headers that the gate goes by. */
+  static int fault(HttpRequest request, Set<String> judged, int maxBody) {
     HttpHeaders h = request.headers();
     if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
       return 505;
     }
     boolean encoded = h.contains(HttpHeaderNames.TRANSFER_ENCODING);
-    if (folded
-        || h.getAll(HttpHeaderNames.HOST).size() > 1
+    if (h.getAll(HttpHeaderNames.HOST).size() > 1
         || (encoded && h.contains(HttpHeaderNames.CONTENT_LENGTH))
         || (encoded
             && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
-                String.valueOf(single(h, HttpHeaderNames.TRANSFER_ENCODING))))) {
+                String.valueOf(single(h, HttpHeaderNames.TRANSFER_ENCODING))))
+        || !Headers.soundOptions(h, judged)) {
       return 400;
     }
+    if (h.contains(HttpHeaderNames.EXPECT)
+        && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(
+            String.valueOf(single(h, HttpHeaderNames.EXPECT)))) {
+      return 417;
+    }
     return HttpUtil.getContentLength(request, 0L) > maxBody ? 413 : 0;
   }
 
--- a/src/main/java/corkproxy/http/Gate.java
+++ b/src/main/java/corkproxy/http/Gate.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpRequest;
 import java.net.InetSocketAddress;
+import java.util.Set;
 
 /** Judges the heads of requests for a front: what is taken, by which pool, under which class. */
 public interface Gate {
@@ -11,6 +12,12 @@
    */
   Verdict judge(HttpRequest head, InetSocketAddress client);
 
+  /**
+   * Names, in lower case, of the headers that this gate judges by or that what it chooses will set,
+   * besides those that every gate goes by.
+   */
+  Set<String> judgesBy();
+
   /** Whether requests would be served. */
   boolean ready();
 }
--- a/src/main/java/corkproxy/http/Headers.java
+++ b/src/main/java/corkproxy/http/Headers.java
@@ -3,11 +3,36 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
 
-/** What of a message's headers belongs to one connection only. */
-final class Headers {
+/**
+ * What each header is to this program: the one table of those that it reads, sets or judges by, and
+ * of those that belong to one connection only.
+ *
+ * <p>Guards rule 2 against a caller that names a header in {@code Connection} (RFC 9110, 7.6.1): what
+ * is named there must not be passed on, so a request that was judged with its key would go out without
+ * it, and no host could tell its repeats apart.
+ */
+public final class Headers {
   static final HttpHeaders NONE = DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders();
 
+  /** Those that frame a message, name it or bound it: no route may set or remove one. Lower case. */
+  public static final Set<String> FRAMING =
+      Set.of(
+          "host", "content-length", "transfer-encoding", "connection", "x-timeout-ms", "te",
+          "upgrade", "trailer", "expect", "idempotency-key", "x-request-id", "keep-alive",
+          "proxy-connection");
+
+  /** Those that anything here goes by; a gate may have more. Lower case. */
+  private static final Set<String> JUDGED =
+      Set.of(
+          "host", "content-length", "transfer-encoding", "expect", "x-timeout-ms",
+          "idempotency-key", "x-request-id", "x-priority-class", "x-tenant-id", "x-route-key",
+          "x-retried", "x-cost", "x-attrs", "x-server-load", "x-not-processed", "forwarded",
+          "x-forwarded-for", "x-forwarded-host", "x-forwarded-proto", "via");
+
   private static final CharSequence[] HOP_BY_HOP = {
     HttpHeaderNames.CONNECTION,
     "Keep-Alive",
@@ -20,9 +45,32 @@
 
   private Headers() {}
 
+  /** Whether a header, in lower case, is one that this program goes by. */
+  static boolean judged(String name, Set<String> byGate) {
+    return JUDGED.contains(name) || byGate.contains(name);
+  }
+
+  /**
+   * Whether the options of {@code Connection} are tokens and none names a header that this program
+   * goes by. {@code byGate} holds further ones, in lower case.
+   */
+  static boolean soundOptions(HttpHeaders headers, Set<String> byGate) {
+    List<String> lines = headers.getAll(HttpHeaderNames.CONNECTION);
+    for (int i = 0; i < lines.size(); i++) {
+      for (String option : lines.get(i).split(",")) {
+        String name = option.strip().toLowerCase(Locale.ROOT);
+        if (!name.isEmpty() && (!HeadScanner.token(name) || judged(name, byGate))) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  /** Removes what belongs to the connection that it came on. */
   static void dropHopByHop(HttpHeaders headers) {
     for (String named : headers.getAll(HttpHeaderNames.CONNECTION)) {
-      for (String token : named.split(",", 16)) {
+      for (String token : named.split(",")) {
         if (!token.isBlank() && !token.trim().equalsIgnoreCase("close")) {
           headers.remove(token.trim());
         }
--- a/src/main/java/corkproxy/proxy/PlatformGate.java
+++ b/src/main/java/corkproxy/proxy/PlatformGate.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What has to hold of a request of the platform's before anything of it is taken. Guards hosts
@@ -37,6 +38,11 @@
     draining = true;
   }
 
+  @Override
+  public Set<String> judgesBy() {
+    return Set.of();
+  }
+
   @Override
   public boolean ready() {
     return !draining && pool.anySendable();
--- a/src/test/java/corkproxy/daemon/DaemonTest.java
+++ b/src/test/java/corkproxy/daemon/DaemonTest.java
@@ -461,10 +461,11 @@
     assertThat(it.status(request("GET", "/x", "r"))).isEqualTo(503);
     long asked = java.util.Arrays.stream(hosts).filter(h -> h.lastArrival() > 0).count();
     assertThat(asked).isEqualTo(1);
-    it.write(LISTENER, CLASSES, pool("a", "", hosts), route);
-    assertThat(it.daemon.reload()).isTrue();
+    it.daemon.close();
+    long before = System.nanoTime();
+    it.start(LISTENER, CLASSES, pool("a", "", hosts), route);
     assertThat(it.status(request("GET", "/x", "s"))).isEqualTo(503);
-    assertThat(java.util.Arrays.stream(hosts).filter(h -> h.lastArrival() > 0).count())
+    assertThat(java.util.Arrays.stream(hosts).filter(h -> h.lastArrival() > before).count())
         .isGreaterThan(1);
   }
 
--- /dev/null
+++ b/src/test/java/corkproxy/daemon/HeadersTest.java
@@ -0,0 +1,162 @@
+package corkproxy.daemon;
+
+import static corkproxy.daemon.Installation.CLASSES;
+import static corkproxy.daemon.Installation.LISTENER;
+import static corkproxy.daemon.Installation.request;
+import static corkproxy.daemon.Installation.route;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import corkproxy.proxy.World;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What was judged is what is sent, whatever a caller writes. */
+class HeadersTest {
+  /** Every header that the program goes by here, with a value that a caller may give it. */
+  private static final Map<String, String> JUDGED =
+      Map.of(
+          "Host", "api.test",
+          "X-Request-ID", "id",
+          "Idempotency-Key", "k",
+          "X-Timeout-Ms", "900",
+          "X-Kind", "log",
+          "X-Office", "o1",
+          "X-Carer", "c7",
+          "X-Part", "b",
+          "Expect", "100-continue",
+          "Content-Length", "0");
+
+  @TempDir Path folder;
+  private final List<String> heads = new CopyOnWriteArrayList<>();
+  private Installation it;
+  private World world;
+
+  @BeforeEach
+  void open() throws Exception {
+    it = new Installation(folder);
+    world = new World(folder, 128);
+    World.Host host =
+        world.new Host(
+            h -> {
+              heads.add(h);
+              return World.ok("x");
+            });
+    it.start(
+        LISTENER + "class_header = \"X-Kind\"\ntenant_header = \"X-Office\"",
+        CLASSES + "[class.log]\nrepeat = \"keyed\"\nwindow_ms = 500\n",
+        "[pool.a]\n[[pool.a.member]]\nid=\"h\"\naddress=\"" + host.address() + "\"",
+        "[[route]]\nname = \"r\"\nprefix = \"/\"\nsplit_by = \"header:X-Carer\"\npool = \"a\"\n"
+            + "headers = { X-Part = \"b\" }\nset_headers = { X-Set = \"s\" }\nremove_headers = [\"X-Gone\"]",
+        route("else", "/", "pool = \"a\""));
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    it.close();
+    world.close();
+  }
+
+  private static String judged(String more) {
+    StringBuilder s = new StringBuilder("POST /x HTTP/1.1\r\n");
+    JUDGED.forEach((k, v) -> s.append(k).append(": ").append(v).append("\r\n"));
+    return s + more + "\r\n";
+  }
+
+  @Test
+  void everyHeaderThatIsJudgedReachesTheHostAsItWasJudged() throws Exception {
+    String answer = it.ask(judged("X-Gone: x\r\nConnection: X-Hop, close\r\nX-Hop: 1\r\n"));
+    assertThat(answer).startsWith("HTTP/1.1 100"); // and the answer behind it
+    World.await(() -> heads.size() == 1);
+    String head = heads.get(0).toLowerCase(Locale.ROOT);
+    JUDGED.forEach(
+        (k, v) -> {
+          String line = "\r\n" + k.toLowerCase(Locale.ROOT) + ": ";
+          switch (k) {
+            case "Expect" -> assertThat(head).doesNotContain(line); // answered here
+            case "X-Timeout-Ms" -> assertThat(head).containsPattern(line + "[1-9][0-9]{0,2}\r");
+            default -> assertThat(head).containsOnlyOnce(line + v + "\r");
+          }
+        });
+    assertThat(head).contains("\r\nx-set: s\r").doesNotContain("x-gone").doesNotContain("x-hop");
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Idempotency-Key", "idempotency-KEY", "Host", "X-Request-ID", "X-Timeout-Ms", "X-Kind",
+        "X-Office", "X-Carer", "X-Part", "X-Set", "X-Gone", "Expect", "Content-Length",
+        "Transfer-Encoding", "Forwarded", "X-Forwarded-For", "Via", "close,Idempotency-Key",
+        "close\r\nConnection:\tHost", "a b", "x@y", "\"Host\"",
+        "a1,a2,a3,a4,a5,a6,a7,a8,a9,a10,a11,a12,a13,a14,a15,a16,a17,a18,a19,a20,Idempotency-Key"
+      })
+  void noConnectionOptionTakesAwayWhatWasJudged(String options) throws Exception {
+    assertThat(it.status(judged("Connection: " + options + "\r\n"))).isEqualTo(400);
+    assertThat(heads).isEmpty();
+    assertThat(it.log()).contains("turned away with 400");
+  }
+
+  @Test
+  void eachOfFortyOptionsIsTakenOffByItself() throws Exception {
+    StringBuilder options = new StringBuilder("Connection: close");
+    StringBuilder lines = new StringBuilder();
+    for (int i = 0; i < 40; i++) {
+      options.append(i % 3 == 0 ? "," : " , ").append("x-hop-").append(i);
+      lines.append("X-Hop-").append(i).append(": 1\r\n");
+    }
+    assertThat(it.status(request("GET", "/x", "r", options + "\r\n" + lines.toString().strip())))
+        .isEqualTo(200);
+    assertThat(heads.get(0).toLowerCase(Locale.ROOT)).doesNotContain("x-hop");
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"X-Kind: claim", "X-Office: o2", "X-Carer: c8", "X-Timeout-Ms: 5", "Idempotency-Key: l"})
+  void whatIsJudgedOnceMayNotStandTwice(String line) throws Exception {
+    assertThat(it.status(judged(line + "\r\n").replace("Expect: 100-continue\r\n", ""))).isEqualTo(400);
+    assertThat(heads).isEmpty();
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "GET\t/ HTTP/1.1", "GET  / HTTP/1.1", "GET /  HTTP/1.1", "GET / hTTP/1.1", "GET / HTTP/1.1 ",
+        " GET / HTTP/1.1", "GET / HTTP/01.1", "GET / HTTP/1.1x", "GET /\u000b HTTP/1.1", "G(T / HTTP/1.1",
+        "GET / HTTP/1.1\r\n folded: x", "GET / HTTP/1.1\r\nX : y", "GET / HTTP/1.1\r\n: y",
+        "GET / HTTP/1.1\r\nX: a\u0000b", "GET / HTTP/1.1\r\nX: a\rb", "GET / HTTP/1.1\nX: y",
+        "GET / HTTP/1.1\r\nX: y\nZ: a", "GET /", "\r\n\r\nGET / HTTP/1.1", "\nGET / HTTP/1.1"
+      })
+  void aHeadThatIsNotOfTheGrammarReachesNoHost(String head) throws Exception {
+    assertThat(it.status(head + "\r\nHost: a\r\n\r\n")).isEqualTo(400);
+    assertThat(heads).isEmpty();
+  }
+
+  @Test
+  void oneEmptyLineMayStandAheadAndAnySplitOfBytesReadsTheSame() throws Exception {
+    byte[] bytes = ("\r\n" + request("GET", "/x", "r")).getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+    try (java.net.Socket s = it.client()) {
+      s.setTcpNoDelay(true);
+      for (byte b : bytes) {
+        s.getOutputStream().write(b);
+      }
+      assertThat(World.read(s.getInputStream())).startsWith("HTTP/1.1 200");
+      World.write(s, request("GET", "/x", "again"));
+      assertThat(World.read(s.getInputStream())).startsWith("HTTP/1.1 200");
+    }
+  }
+
+  @Test
+  void anExpectationThatNobodyKnowsIsNotTaken() throws Exception {
+    assertThat(it.status(request("GET", "/x", "r", "Expect: the-moon"))).isEqualTo(417);
+    assertThat(it.status(request("GET", "/x", "s", "Expect: 100-continue", "Expect: 100-continue")))
+        .isEqualTo(417);
+    assertThat(heads).isEmpty();
+  }
+}
--- a/src/test/java/corkproxy/proxy/ProxyTest.java
+++ b/src/test/java/corkproxy/proxy/ProxyTest.java
@@ -271,6 +271,10 @@
         "X-Note: one| two",
         "X-Note: one|\ttwo",
         "no colon",
+        "Connection: Idempotency-Key",
+        "Connection: close, x-request-id",
+        "Connection: Host",
+        "Expect: the-moon",
       })
   void whatCanBeReadInTwoWaysIsRejectedHere(String lines) throws Exception {
     World.Host host = world.new Host(h -> ok("served"));
