Bound the connections to each server over all workers; epoll for the daemon

Need: 64 clients at 43,000/s held 359 to 399 connections to two hosts, since each rested 5 ms after an answer and nothing an operator could set bounded them. 40% of a worker's time were system calls through the JDK's selector.

Change: max_connections, max_pending, max_requests_per_connection and rest_ms of a pool. A place is taken before the connect over all workers, workers hand places on to each other, requests wait in order and have not run while they do. Only hosts that were seen to send surplus rest. The daemon's sockets are a Transport: epoll, io_uring or the JDK's; the platform's process keeps the last and loads nothing of the others.

Failed first: the stand-in counted a connection that had ended but not been read as open; it now counts those that are open together for 50 ms.

--- a/src/main/java/corkproxy/daemon/Daemon.java
+++ b/src/main/java/corkproxy/daemon/Daemon.java
@@ -1,6 +1,9 @@
 package corkproxy.daemon;
 
 import corkproxy.engine.Log;
+import corkproxy.engine.NativeTransport;
+import corkproxy.engine.NioTransport;
+import corkproxy.engine.Transport;
 import corkproxy.engine.Upstreams;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -9,9 +12,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -49,6 +50,7 @@
 
   private final Path file;
   private final Log log;
+  private final Transport transport;
   private final MultiThreadIoEventLoopGroup acceptor;
   private final MultiThreadIoEventLoopGroup group;
   private final Map<EventLoop, Worker> workers = new LinkedHashMap<>();
@@ -72,17 +74,18 @@
   Daemon(Path file, DaemonConfig config, Log log, long seed) throws FaultyFileException {
     this.file = file;
     this.log = log;
+    this.transport = transport(config.process().transport(), log);
     this.acceptor =
         new MultiThreadIoEventLoopGroup(
-            1, new DefaultThreadFactory("accept", true), NioIoHandler.newFactory());
+            1, new DefaultThreadFactory("accept", true), transport.loops());
     this.group =
         new MultiThreadIoEventLoopGroup(
             config.process().workers(),
             new DefaultThreadFactory("worker", true),
-            NioIoHandler.newFactory());
+            transport.loops());
     for (int i = 0; i < config.process().workers(); i++) {
       EventLoop loop = (EventLoop) group.next();
-      workers.put(loop, new Worker(loop, i, config.process(), seed + 1_000_003L * i, log));
+      workers.put(loop, new Worker(loop, transport, i, config.process(), seed + 1_000_003L * i, log));
     }
     try {
       apply(config);
@@ -92,6 +95,21 @@
     }
   }
 
+  /** The sockets that were asked for; where Linux does not give them, those of the JDK and a line. */
+  private static Transport transport(DaemonConfig.Sockets asked, Log log) {
+    if (asked == DaemonConfig.Sockets.NIO) {
+      return new NioTransport();
+    }
+    NativeTransport wanted =
+        asked == DaemonConfig.Sockets.IO_URING ? NativeTransport.IO_URING : NativeTransport.EPOLL;
+    Throwable missing = wanted.missing();
+    if (missing == null) {
+      return wanted;
+    }
+    log.line("transport " + wanted + " can't be had (" + missing + "): NIO in its place");
+    return new NioTransport();
+  }
+
   /** Judges a file and does nothing else; throws what is wrong with it. */
   public static void check(Path file) throws FaultyFileException {
     OperatorFile.read(file);
@@ -112,8 +130,9 @@
       DaemonConfig.Process is = next.process();
       if (is.workers() != was.workers()
           || is.descriptors() != was.descriptors()
-          || is.bodyMemoryMb() != was.bodyMemoryMb()) {
-        log.line("workers, descriptors and body_memory_mb change with a restart only");
+          || is.bodyMemoryMb() != was.bodyMemoryMb()
+          || is.transport() != was.transport()) {
+        log.line("workers, descriptors, body_memory_mb and transport change with a restart only");
       }
       apply(next);
       log.line("version " + version.number + " in force");
@@ -188,7 +207,7 @@
   private ChannelFuture bind(DaemonConfig.Listener l) {
     return new ServerBootstrap()
         .group(acceptor, group)
-        .channel(NioServerSocketChannel.class)
+        .channel(transport.listener())
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .option(ChannelOption.AUTO_READ, false)
--- a/src/main/java/corkproxy/daemon/DaemonConfig.java
+++ b/src/main/java/corkproxy/daemon/DaemonConfig.java
@@ -31,7 +31,16 @@
       int instance,
       int instances,
       double retryRatio,
-      double retryBurst) {}
+      double retryBurst,
+      Sockets transport) {}
+
+  /** The kind of sockets: the best that is there, or a certain one. */
+  enum Sockets {
+    AUTO,
+    NIO,
+    EPOLL,
+    IO_URING
+  }
 
   /** Where clients connect. */
   record Listener(
@@ -54,6 +63,10 @@
       int maxAnswer,
       double connIdle,
       double connectTimeout,
+      int maxConnections,
+      int maxPending,
+      int maxRequests,
+      double rest,
       double retryRatio,
       double retryBurst) {
 
--- a/src/main/java/corkproxy/daemon/OperatorFile.java
+++ b/src/main/java/corkproxy/daemon/OperatorFile.java
@@ -128,7 +128,8 @@
             d.integer("instance", 0, 0, instances - 1),
             instances,
             r.number("ratio", 0.2, 0, 10),
-            r.number("burst", 100, 0, 1e6));
+            r.number("burst", 100, 0, 1e6),
+            d.word("transport", DaemonConfig.Sockets.AUTO, DaemonConfig.Sockets.class));
     r.end();
     d.end();
     return p;
@@ -300,6 +301,10 @@
               s.integer("max_answer_bytes", 1 << 20, 0, 256 << 20),
               s.number("idle_ms", 15_000, 100, 3_600_000),
               s.number("connect_timeout_ms", 250, 1, 60_000),
+              s.integer("max_connections", 1_024, 1, 1_000_000),
+              s.integer("max_pending", 1_024, 0, 1_000_000),
+              s.integer("max_requests_per_connection", Integer.MAX_VALUE, 1, Integer.MAX_VALUE),
+              s.number("rest_ms", 0, 0, 1_000),
               retries.number("ratio", 0.2, 0, 10),
               retries.number("burst", 20, 0, 1e6)));
       retries.end();
--- a/src/main/java/corkproxy/daemon/Version.java
+++ b/src/main/java/corkproxy/daemon/Version.java
@@ -1,7 +1,9 @@
 package corkproxy.daemon;
 
 import corkproxy.balancer.Settings;
+import corkproxy.engine.ConnectionLimits;
 import corkproxy.engine.Hosts;
+import corkproxy.engine.PoolBounds;
 import corkproxy.limits.Limiter;
 import corkproxy.limits.RetryBudget;
 import corkproxy.routing.RouteTable;
@@ -11,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * One operator's file in force: immutable but for what limits and budgets count, and shared by all
@@ -21,7 +24,21 @@
   record Target(DaemonConfig.Route route, Split<String> split) {}
 
   /** A pool with its hosts as they are told to the modules. */
-  record Pool(DaemonConfig.Pool config, Hosts.News members, RetryBudget retries) {}
+  record Pool(
+      DaemonConfig.Pool config,
+      Hosts.News members,
+      RetryBudget retries,
+      ConnectionLimits connections) {
+    PoolBounds bounds() {
+      return new PoolBounds(
+          config.connIdle(),
+          config.connectTimeout(),
+          config.rest(),
+          config.maxPending(),
+          config.maxRequests(),
+          connections);
+    }
+  }
 
   final long number;
   final DaemonConfig config;
@@ -100,9 +117,15 @@
         before != null
             && before.config.retryRatio() == pool.retryRatio()
             && before.config.retryBurst() == pool.retryBurst();
+    // Counts what the workers hold, whatever becomes of the modules: the bound is the hosts'.
+    ConnectionLimits connections =
+        before == null ? new ConnectionLimits(pool.maxConnections()) : before.connections;
+    connections.most(pool.maxConnections());
+    connections.keep(members.stream().map(Hosts.Member::address).collect(Collectors.toSet()));
     return new Pool(
         pool,
         new Hosts.News(number, true, members),
-        sameBudget ? before.retries : new RetryBudget(pool.retryRatio(), pool.retryBurst()));
+        sameBudget ? before.retries : new RetryBudget(pool.retryRatio(), pool.retryBurst()),
+        connections);
   }
 }
--- a/src/main/java/corkproxy/daemon/Worker.java
+++ b/src/main/java/corkproxy/daemon/Worker.java
@@ -5,6 +5,7 @@
 import corkproxy.engine.Dispatcher;
 import corkproxy.engine.Log;
 import corkproxy.engine.Sockets;
+import corkproxy.engine.Transport;
 import corkproxy.engine.Upstreams;
 import corkproxy.http.Front;
 import corkproxy.http.FrontSettings;
@@ -28,10 +29,12 @@
   /** A pool on this worker. */
   private static final class WorkerPool {
     final Dispatcher dispatcher;
+    final Upstreams upstreams;
     Version.Pool version;
 
-    WorkerPool(Dispatcher dispatcher, Version.Pool version) {
+    WorkerPool(Dispatcher dispatcher, Upstreams upstreams, Version.Pool version) {
       this.dispatcher = dispatcher;
+      this.upstreams = upstreams;
       this.version = version;
     }
   }
@@ -40,6 +43,7 @@
   private record Closing(String name, Front front, long until) {}
 
   private final EventLoop loop;
+  private final Transport transport;
   private final int number;
   private final Log log;
   private final Sockets sockets;
@@ -52,8 +56,15 @@
   private boolean draining;
 
   /** A worker of so many; its part of the budgets is an equal one. */
-  Worker(EventLoop loop, int number, DaemonConfig.Process process, long seed, Log log) {
+  Worker(
+      EventLoop loop,
+      Transport transport,
+      int number,
+      DaemonConfig.Process process,
+      long seed,
+      Log log) {
     this.loop = loop;
+    this.transport = transport;
     this.number = number;
     this.log = log;
     this.seeds = seed;
@@ -85,6 +96,8 @@
           kept.dispatcher.membership(News.FULL, p.members());
         }
         kept.version = p;
+        kept.upstreams.bounds(p.bounds());
+        kept.dispatcher.sweep(); // what a lower bound leaves no room for, and carries nothing, goes now
       }
       WorkerPool pool = pools.get(p.config().name());
       pool.dispatcher.bound(() -> retryAllowed(v, p));
@@ -131,17 +144,12 @@
     DaemonConfig.Pool c = p.config();
     Upstreams upstreams =
         new Upstreams(
-            loop,
-            new HttpProtocol(c.maxAnswer(), true),
-            c.connIdle(),
-            c.connectTimeout(),
-            sockets,
-            log);
+            loop, transport, new HttpProtocol(c.maxAnswer(), true), p.bounds(), sockets, log);
     Dispatcher d =
         new Dispatcher(
             loop, c.settings().at(c.settings().position() + number), seeds++, upstreams, budget, log);
     d.start(p.members(), () -> {});
-    return new WorkerPool(d, p);
+    return new WorkerPool(d, upstreams, p);
   }
 
   /** The pool of that name, or null. */
--- /dev/null
+++ b/src/main/java/corkproxy/engine/ConnectionLimits.java
@@ -0,0 +1,138 @@
+package corkproxy.engine;
+
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * How many connections all workers of a process together may hold to one host of a pool. Guards
+ * hosts, which accept so many from all of their clients, against a process that opens one for
+ * whatever is in flight.
+ *
+ * <p>A count is taken before a connection is begun and given back when it has been closed, so the bound
+ * holds at each moment. Where it is reached, an attempt waits in its worker ({@link Upstreams}); a
+ * connection that another worker keeps idle is asked for, and one that ends passes its place on to the
+ * workers in the order in which they asked. No lock; safe for use by many threads.
+ *
+ * <pre>
+ *   worker A   take ... carry ... idle ---- yields: close, give back -+
+ *   worker B              full: asks, waits ------------------------- +-> take ... carry
+ * </pre>
+ */
+public final class ConnectionLimits {
+  /** A worker's part in one host's places; its methods are called from any thread. */
+  interface Member {
+    /** A place is free: use it, if there is still anything to use it for. */
+    void placeFree();
+
+    /** Others wait for a place: close a connection that carries nothing, if there is one. */
+    void yieldIdle();
+  }
+
+  /** The places of one host. */
+  final class Places {
+    private final AtomicInteger taken = new AtomicInteger();
+    private final Queue<Member> waiting = new ConcurrentLinkedQueue<>();
+    private final Set<Member> members = ConcurrentHashMap.newKeySet();
+
+    void join(Member m) {
+      members.add(m);
+    }
+
+    void leave(Member m) {
+      members.remove(m);
+      waiting.remove(m);
+    }
+
+    /** Takes a place; false where all are taken. */
+    boolean take() {
+      int n;
+      do {
+        n = taken.get();
+        if (n >= most) {
+          return false;
+        }
+      } while (!taken.compareAndSet(n, n + 1));
+      return true;
+    }
+
+    void give() {
+      taken.decrementAndGet();
+      wake();
+    }
+
+    /** Whether more are taken than may be, since the bound was lowered. */
+    boolean over() {
+      return taken.get() > most;
+    }
+
+    /** Whether a worker waits for a place. */
+    boolean wanted() {
+      return !waiting.isEmpty();
+    }
+
+    /** Waits for a place and asks the other workers for one that they don't use. */
+    void await(Member m) {
+      if (!waiting.contains(m)) {
+        waiting.add(m);
+      }
+      for (Member other : members) {
+        if (other != m) {
+          other.yieldIdle();
+        }
+      }
+      wake(); // what was given back before this one stood in the queue
+    }
+
+    /** Nothing here wants the place that was offered: the next worker may have it. */
+    void pass() {
+      if (!waiting.isEmpty()) {
+        wake();
+      }
+    }
+
+    private void wake() {
+      Member next;
+      if (taken.get() < most && (next = waiting.poll()) != null) {
+        next.placeFree();
+      }
+    }
+  }
+
+  private final Map<InetSocketAddress, Places> byHost = new ConcurrentHashMap<>();
+  private volatile int most;
+
+  /** So many connections to each host, at least 1. */
+  public ConnectionLimits(int most) {
+    most(most);
+  }
+
+  /** Changes the bound; what is past it ends as soon as it carries nothing. */
+  public void most(int connections) {
+    if (connections < 1) {
+      throw new IllegalArgumentException("connections: " + connections + " (expected: >= 1)");
+    }
+    most = connections;
+    byHost.values().forEach(Places::wake);
+  }
+
+  Places of(InetSocketAddress host) {
+    return byHost.computeIfAbsent(host, h -> new Places());
+  }
+
+  /** Forgets hosts that are no longer listed and have no connection; guards against a list that churns. */
+  public void keep(Collection<InetSocketAddress> listed) {
+    byHost
+        .entrySet()
+        .removeIf(
+            e ->
+                !listed.contains(e.getKey())
+                    && e.getValue().taken.get() == 0
+                    && e.getValue().members.isEmpty());
+  }
+}
--- a/src/main/java/corkproxy/engine/Host.java
+++ b/src/main/java/corkproxy/engine/Host.java
@@ -30,6 +30,20 @@
   /** Those that have just carried and rest for a moment, the longest idle first. */
   final ArrayDeque<UpstreamConnection> resting = new ArrayDeque<>(2);
 
+  /** Attempts that wait for a connection, the oldest first. */
+  final ArrayDeque<Attempt> pending = new ArrayDeque<>(2);
+
+  /** Whether a look at {@link #pending} is due when a rest ends. */
+  boolean pumping;
+
+  /** This host's part in the places that workers share, or null. */
+  Upstreams.HostMember member;
+
+  /** Whether, and when (ns) last, bytes came behind an answer that belong to none. */
+  boolean surplusSeen;
+
+  long surplusAt;
+
   final Set<Attempt> connecting = new LinkedHashSet<>(2);
   int calls;
   private long keepNanos = Long.MAX_VALUE;
@@ -40,6 +54,12 @@
     this.id = id;
   }
 
+  /** Bytes came behind an answer of this host's that belong to none. */
+  void surplus() {
+    surplusSeen = true;
+    surplusAt = System.nanoTime();
+  }
+
   /** How long (ns) a connection here may stand idle and still be used, by what has been seen. */
   long keepNanos(long now) {
     return keepNanos == Long.MAX_VALUE
--- /dev/null
+++ b/src/main/java/corkproxy/engine/NativeTransport.java
@@ -0,0 +1,77 @@
+package corkproxy.engine;
+
+import io.netty.channel.Channel;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.unix.FileDescriptor;
+import io.netty.channel.unix.UnixChannel;
+import io.netty.channel.uring.IoUring;
+import io.netty.channel.uring.IoUringIoHandler;
+import io.netty.channel.uring.IoUringServerSocketChannel;
+import io.netty.channel.uring.IoUringSocketChannel;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+/** Linux's own sockets, through netty's native parts. */
+public enum NativeTransport implements Transport {
+  EPOLL {
+    @Override
+    public IoHandlerFactory loops() {
+      return EpollIoHandler.newFactory();
+    }
+
+    @Override
+    public Class<? extends ServerChannel> listener() {
+      return EpollServerSocketChannel.class;
+    }
+
+    @Override
+    public Class<? extends Channel> connection() {
+      return EpollSocketChannel.class;
+    }
+  },
+  /**
+   * A read is always out on each socket, so {@link #quiet} sees that a connection has ended, not the
+   * bytes that the kernel has already taken for that read.
+   */
+  IO_URING {
+    @Override
+    public IoHandlerFactory loops() {
+      return IoUringIoHandler.newFactory();
+    }
+
+    @Override
+    public Class<? extends ServerChannel> listener() {
+      return IoUringServerSocketChannel.class;
+    }
+
+    @Override
+    public Class<? extends Channel> connection() {
+      return IoUringSocketChannel.class;
+    }
+  };
+
+  private static final ThreadLocal<ByteBuffer> ONE =
+      ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(1));
+
+  /** Why this one can't be had here, or null if it can. */
+  public Throwable missing() {
+    return this == EPOLL ? Epoll.unavailabilityCause() : IoUring.unavailabilityCause();
+  }
+
+  @Override
+  public boolean quiet(Channel connection) {
+    FileDescriptor fd = ((UnixChannel) connection).fd();
+    ByteBuffer one = ONE.get();
+    try {
+      one.clear();
+      return fd.read(one, 0, 1) == 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/engine/NioTransport.java
@@ -0,0 +1,51 @@
+package corkproxy.engine;
+
+import io.netty.channel.Channel;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+/** The JDK's sockets, on any platform. */
+public final class NioTransport implements Transport {
+  /** A socket to a host that can be asked, just before it is written to, whether it is still quiet. */
+  public static final class Connection extends NioSocketChannel {
+    private final ByteBuffer one = ByteBuffer.allocate(1);
+
+    /**
+     * Guards against a write to a pooled connection that the host has closed, whose end waits in the
+     * kernel for the loop's next turn: the request would count as one that may have run.
+     */
+    boolean quiet() {
+      try {
+        one.clear();
+        return javaChannel().read(one) == 0;
+      } catch (IOException e) {
+        return false;
+      }
+    }
+  }
+
+  @Override
+  public IoHandlerFactory loops() {
+    return NioIoHandler.newFactory();
+  }
+
+  @Override
+  public Class<? extends ServerChannel> listener() {
+    return NioServerSocketChannel.class;
+  }
+
+  @Override
+  public Class<? extends Channel> connection() {
+    return Connection.class;
+  }
+
+  @Override
+  public boolean quiet(Channel connection) {
+    return ((Connection) connection).quiet();
+  }
+}
--- a/src/main/java/corkproxy/engine/Protocol.java
+++ b/src/main/java/corkproxy/engine/Protocol.java
@@ -1,7 +1,9 @@
 package corkproxy.engine;
 
+import io.netty.channel.Channel;
+
 /** How hosts are spoken to. One instance serves all connections of a pool. */
 public interface Protocol {
   /** Makes a fresh connection ready to carry attempts: fills its pipeline, the result last. */
-  UpstreamConnection open(Upstreams pool, Host host, UpstreamChannel channel);
+  UpstreamConnection open(Upstreams pool, Host host, Channel channel);
 }
--- a/src/main/java/corkproxy/engine/UpstreamConnection.java
+++ b/src/main/java/corkproxy/engine/UpstreamConnection.java
@@ -18,14 +18,15 @@
   private final Host host;
   private final InetSocketAddress address;
   private final double started;
-  private final UpstreamChannel channel;
+  private final Channel channel;
   private Attempt attempt;
   private boolean written;
+  private int carried;
   private long since;
   private long idleFor;
   private long writtenAt;
 
-  protected UpstreamConnection(Upstreams pool, Host host, UpstreamChannel channel) {
+  protected UpstreamConnection(Upstreams pool, Host host, Channel channel) {
     this.pool = pool;
     this.host = host;
     this.address = host.address;
@@ -49,7 +50,7 @@
 
   /** Whether nothing has come or ended here since it went idle; asks the socket itself. */
   final boolean alive() {
-    return channel.isActive() && channel.quiet();
+    return channel.isActive() && pool.quiet(channel);
   }
 
   /** Nanoseconds at which it went idle or its unwanted rest began. */
@@ -61,11 +62,23 @@
     return host.sendable && address.equals(host.address) && started == host.started;
   }
 
+  /** Attempts that it has been given so far. */
+  final int carried() {
+    return carried;
+  }
+
+  /** Bytes came that belong to no answer. */
+  protected final void surplus() {
+    host.surplus();
+    channel.close();
+  }
+
   /** Writes the attempt; the last moment at which it can be held back has passed. */
   final void run(Attempt next) {
     writtenAt = System.nanoTime();
     idleFor = since == 0 ? 0 : writtenAt - since;
     attempt = next;
+    carried++;
     written = false;
     begin();
     next.attached(this);
@@ -92,7 +105,7 @@
   protected final void finished(boolean keep) {
     attempt = null;
     channel.config().setAutoRead(true);
-    if (keep && channel.isActive() && reusable()) {
+    if (keep && channel.isActive() && reusable() && carried < pool.maxRequests()) {
       since = System.nanoTime();
       pool.idle(host, this);
     } else {
--- a/src/main/java/corkproxy/engine/Upstreams.java
+++ b/src/main/java/corkproxy/engine/Upstreams.java
@@ -1,23 +1,27 @@
 package corkproxy.engine;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
+import io.netty.channel.EventLoop;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /** The connections to hosts: opens them as needed, keeps the idle ones, ends them in time. */
 public final class Upstreams {
   /** Part of the host's idle time after which a connection is closed: well before the host does. */
   private static final double IDLE_PART = 0.7;
 
-  /** How long (ns) a connection rests after an answer before it carries another request. */
+  /** How long (ns) a connection to a host that was seen to send surplus rests after an answer. */
   private static final long REST_NANOS = 5_000_000L;
 
   /** How long (ns) the rest of an unwanted answer is waited for. */
@@ -28,64 +32,193 @@
 
   public static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(16_384, 32_768);
 
+  /** How long (ns) a host that was seen to send surplus bytes is remembered. */
+  private static final long SURPLUS_NANOS = 600_000_000_000L;
+
+  /** Requests that a connection carries before it goes to another worker that waits for a place. */
+  private static final int TURN = 16;
+
+  private final EventLoop loop;
+  private final Transport transport;
   private final Bootstrap bootstrap;
   private final Protocol protocol;
   private final Sockets sockets;
   private final Log log;
-  private final long idleNanos;
   private final Set<UpstreamConnection> discarding = new HashSet<>();
+  private PoolBounds bounds;
   private long refused;
 
-  /**
-   * Connections of one pool on one loop. {@code connIdle} is how long (ms) hosts keep an idle
-   * connection, {@code connectTimeout} how long (ms) one may take to come up.
-   */
+  /** Connections of one pool on one loop. */
   public Upstreams(
-      EventLoopGroup loop,
+      EventLoop loop,
+      Transport transport,
       Protocol protocol,
-      double connIdle,
-      double connectTimeout,
+      PoolBounds bounds,
       Sockets sockets,
       Log log) {
+    this.loop = loop;
+    this.transport = transport;
     this.protocol = protocol;
+    this.bounds = bounds;
     this.sockets = sockets;
     this.log = log;
-    this.idleNanos = (long) (IDLE_PART * connIdle * 1e6);
     this.bootstrap =
         new Bootstrap()
             .group(loop)
-            .channelFactory(UpstreamChannel::new)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout))
+            .channel(transport.connection())
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.RECVBUF_ALLOCATOR, READS)
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
             .handler(
-                new ChannelInitializer<UpstreamChannel>() {
+                new ChannelInitializer<Channel>() {
                   @Override
-                  protected void initChannel(UpstreamChannel ch) {}
+                  protected void initChannel(Channel ch) {}
                 });
+    bounds(bounds);
   }
 
-  /** Carries the call to its host on a quiet connection, or on a new one. */
+  /** From now on these hold; {@code limits} must be the same as before. */
+  public void bounds(PoolBounds next) {
+    bounds = next;
+    bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, next.connectMs()));
+  }
+
+  int maxRequests() {
+    return bounds.maxRequests();
+  }
+
+  boolean quiet(Channel connection) {
+    return transport.quiet(connection);
+  }
+
+  /** Carries the call to its host on a quiet connection, on a new one, or waits for one. */
   void start(Attempt call) {
     Host host = call.host;
+    if (host.pending.isEmpty()) {
+      UpstreamConnection c = ready(host);
+      if (c != null) {
+        c.run(call);
+        return;
+      }
+      if (bounds.limits() == null || places(host).take()) {
+        connect(call, host);
+        return;
+      }
+    }
+    if (host.pending.size() >= bounds.maxPending()) {
+      // Known not to have run, and no fault of the host's: the module may ask another.
+      call.moot();
+      return;
+    }
+    host.pending.addLast(call);
+    pump(host);
+  }
+
+  /** A connection that may carry now, or null. */
+  private UpstreamConnection ready(Host host) {
     UpstreamConnection c;
     while ((c = rested(host)) != null) {
       sockets.upstreamIdle(c, false);
       if (c.alive() && c.reusable()) {
-        c.run(call);
-        return;
+        return c;
       }
       c.channel().close();
     }
-    if (!sockets.roomForUpstream()) {
-      if (refused++ % 100 == 0) {
-        log.line("out of sockets: " + refused + " attempts had none");
+    return null;
+  }
+
+  /** Gives attempts that wait what has become free, in the order in which they came. */
+  private void pump(Host host) {
+    if (host.pending.isEmpty()) {
+      if (host.member != null) {
+        host.member.places.pass();
       }
-      call.notSent();
       return;
     }
-    connect(call, host);
+    Attempt next;
+    while ((next = host.pending.peekFirst()) != null) {
+      UpstreamConnection c = ready(host);
+      boolean connects = c == null && places(host).take();
+      if (c == null && !connects) {
+        break;
+      }
+      host.pending.pollFirst();
+      if (c != null) {
+        c.run(next);
+      } else {
+        connect(next, host);
+      }
+    }
+    if (!host.pending.isEmpty()) {
+      if (!host.resting.isEmpty() && !host.pumping) {
+        host.pumping = true;
+        loop.schedule(
+            () -> {
+              host.pumping = false;
+              pump(host);
+            },
+            restNanos(host, System.nanoTime()),
+            TimeUnit.NANOSECONDS);
+      }
+      places(host).await(host.member);
+    }
+  }
+
+  /** The host's places at the address that it has now. */
+  private ConnectionLimits.Places places(Host host) {
+    if (host.member == null || !host.member.address.equals(host.address)) {
+      leave(host);
+      host.member = new HostMember(host, bounds.limits().of(host.address));
+      host.member.places.join(host.member);
+    }
+    return host.member.places;
+  }
+
+  private static void leave(Host host) {
+    if (host.member != null) {
+      host.member.places.leave(host.member);
+      host.member = null;
+    }
+  }
+
+  /** One host's part in the places that all workers share. */
+  final class HostMember implements ConnectionLimits.Member {
+    private final Host host;
+    private final InetSocketAddress address;
+    private final ConnectionLimits.Places places;
+    private final AtomicBoolean asked = new AtomicBoolean();
+
+    private HostMember(Host host, ConnectionLimits.Places places) {
+      this.host = host;
+      this.address = host.address;
+      this.places = places;
+    }
+
+    @Override
+    public void placeFree() {
+      loop.execute(
+          () -> {
+            if (host.member == this) {
+              pump(host);
+            } else {
+              places.pass();
+            }
+          });
+    }
+
+    @Override
+    public void yieldIdle() {
+      if (asked.compareAndSet(false, true)) {
+        loop.execute(
+            () -> {
+              asked.set(false);
+              List<UpstreamConnection> unused = unused(host);
+              if (host.pending.isEmpty() && !unused.isEmpty() && places.wanted()) {
+                unused.get(0).channel().close();
+              }
+            });
+      }
+    }
   }
 
   /**
@@ -94,7 +227,7 @@
    * own: on a connection in use again they would be the answer to another request. It costs a few
    * more connections to hosts that answer within milliseconds.
    */
-  private static UpstreamConnection rested(Host host) {
+  private UpstreamConnection rested(Host host) {
     long now = System.nanoTime();
     endRests(host, now);
     UpstreamConnection c = host.idle.peekLast();
@@ -102,18 +235,45 @@
   }
 
   /** In one step a connection, where a look at each that rests would cost a busy host one a request. */
-  private static void endRests(Host host, long now) {
+  private void endRests(Host host, long now) {
+    long rest = restNanos(host, now);
     UpstreamConnection c;
-    while ((c = host.resting.peekFirst()) != null && now - c.since() >= REST_NANOS) {
+    while ((c = host.resting.peekFirst()) != null && now - c.since() >= rest) {
       host.idle.addLast(host.resting.pollFirst());
     }
   }
 
+  private long restNanos(Host host, long now) {
+    long rest = (long) (bounds.restMs() * 1e6);
+    boolean seen = host.surplusSeen && now - host.surplusAt < SURPLUS_NANOS;
+    return seen ? Math.max(rest, REST_NANOS) : rest;
+  }
+
+  /** Opens a connection for the call; its place has been taken. */
   private void connect(Attempt call, Host host) {
+    ConnectionLimits.Places places = bounds.limits() == null ? null : places(host);
+    if (!sockets.roomForUpstream()) {
+      if (refused++ % 100 == 0) {
+        log.line("out of sockets: " + refused + " attempts had none");
+      }
+      if (places != null) {
+        places.give();
+      }
+      call.notSent();
+      return;
+    }
     ChannelFuture f = bootstrap.connect(host.address);
-    UpstreamChannel channel = (UpstreamChannel) f.channel();
+    Channel channel = f.channel();
     sockets.upstreamOpened();
-    channel.closeFuture().addListener(x -> sockets.upstreamClosed());
+    channel
+        .closeFuture()
+        .addListener(
+            x -> {
+              sockets.upstreamClosed();
+              if (places != null) {
+                places.give();
+              }
+            });
     call.connecting(channel);
     host.connecting.add(call);
     f.addListener(
@@ -131,13 +291,29 @@
   /** The call is over or not wanted any more. */
   void end(Attempt call) {
     call.host.connecting.remove(call);
+    if (!call.host.pending.isEmpty()) {
+      call.host.pending.remove(call);
+    }
     call.abandon();
   }
 
+  /** A connection has carried an attempt to its end and may carry another. */
   void idle(Host host, UpstreamConnection c) {
     discarding.remove(c);
+    if (bounds.limits() != null) {
+      ConnectionLimits.Places places = places(host);
+      // Guards against a worker that keeps every place of a host for itself, however long others wait.
+      boolean turn = host.pending.isEmpty() || c.carried() % TURN == 0;
+      if (places.over() || turn && places.wanted()) {
+        c.channel().close();
+        return;
+      }
+    }
     host.resting.addLast(c);
     sockets.upstreamIdle(c, true);
+    if (!host.pending.isEmpty()) {
+      pump(host);
+    }
   }
 
   void discarding(UpstreamConnection c) {
@@ -160,13 +336,17 @@
       }
     }
     List<Attempt> unsent = new ArrayList<>(host.connecting);
+    unsent.addAll(host.pending);
     host.connecting.clear();
+    host.pending.clear();
+    leave(host);
     return unsent;
   }
 
   /** Closes what has been idle for long. */
   void sweep(Iterable<Host> hosts) {
     long now = System.nanoTime();
+    long idleNanos = (long) (IDLE_PART * bounds.idleMs() * 1e6);
     for (Host h : hosts) {
       endRests(h, now);
       UpstreamConnection c;
@@ -174,6 +354,9 @@
         h.idle.pollFirst();
         c.channel().close();
       }
+      if (h.member != null && h.member.places.over()) {
+        unused(h).forEach(UpstreamConnection::closeIdle);
+      }
     }
     for (UpstreamConnection c : new ArrayList<>(discarding)) {
       if (now - c.since() > DISCARD_NANOS) {
@@ -192,6 +375,7 @@
   void closeIdle(Iterable<Host> hosts) {
     for (Host h : hosts) {
       unused(h).forEach(UpstreamConnection::closeIdle);
+      leave(h);
     }
   }
 }
--- a/src/main/java/corkproxy/http/HttpProtocol.java
+++ b/src/main/java/corkproxy/http/HttpProtocol.java
@@ -2,9 +2,9 @@
 
 import corkproxy.engine.Host;
 import corkproxy.engine.Protocol;
-import corkproxy.engine.UpstreamChannel;
 import corkproxy.engine.UpstreamConnection;
 import corkproxy.engine.Upstreams;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 
@@ -23,7 +23,7 @@
       .setMaxHeaderSize(16_384).setMaxChunkSize(16_384).setInitialBufferSize(256);
 
   @Override
-  public UpstreamConnection open(Upstreams pool, Host host, UpstreamChannel channel) {
+  public UpstreamConnection open(Upstreams pool, Host host, Channel channel) {
     HttpUpstreamConnection.Decoder decoder = new HttpUpstreamConnection.Decoder(DECODER);
     HttpUpstreamConnection c = new HttpUpstreamConnection(pool, host, channel, decoder, this);
     channel.pipeline().addLast(decoder, new HttpRequestEncoder(), c);
--- a/src/main/java/corkproxy/http/HttpUpstreamConnection.java
+++ b/src/main/java/corkproxy/http/HttpUpstreamConnection.java
@@ -1,9 +1,9 @@
 package corkproxy.http;
 
 import corkproxy.engine.Host;
-import corkproxy.engine.UpstreamChannel;
 import corkproxy.engine.UpstreamConnection;
 import corkproxy.engine.Upstreams;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -71,7 +71,7 @@
   private int unwanted;
 
   HttpUpstreamConnection(
-      Upstreams pool, Host host, UpstreamChannel channel, Decoder decoder, HttpProtocol protocol) {
+      Upstreams pool, Host host, Channel channel, Decoder decoder, HttpProtocol protocol) {
     super(pool, host, channel);
     this.decoder = decoder;
     this.protocol = protocol;
@@ -103,7 +103,7 @@
     try {
       if (attempt() == null && reply != Reply.UNWANTED) {
         // Guards against surplus bytes of one answer that would be taken for the next one's.
-        channel().close();
+        surplus();
         return;
       }
       HttpObject part = (HttpObject) msg;
@@ -169,7 +169,11 @@
 
   private void ended() {
     reply = Reply.NONE;
-    finished(keep && !decoder.surplus());
+    boolean surplus = decoder.surplus();
+    if (surplus) {
+      surplus();
+    }
+    finished(keep && !surplus);
   }
 
   /** The attempt has learned all it needs from the head; the connection may still be of use. */
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -3,15 +3,17 @@
 import corkproxy.engine.BodyBudget;
 import corkproxy.engine.Dispatcher;
 import corkproxy.engine.Log;
+import corkproxy.engine.NioTransport;
+import corkproxy.engine.PoolBounds;
 import corkproxy.engine.Signals;
 import corkproxy.engine.Sockets;
+import corkproxy.engine.Transport;
 import corkproxy.engine.Upstreams;
 import corkproxy.http.Front;
 import corkproxy.http.FrontSettings;
 import corkproxy.http.HttpProtocol;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Future;
 import java.net.BindException;
@@ -23,6 +25,8 @@
 
 /** One client proxy: all of it on one event loop thread, from its start to its drain. */
 public final class Proxy {
+  private static final Transport TRANSPORT = new NioTransport();
+
   /** What the JVM takes of the memory limit besides bodies. */
   private static final long BASE_MB = 88;
 
@@ -61,7 +65,7 @@
     this.log = log;
     this.group =
         new MultiThreadIoEventLoopGroup(
-            1, new DefaultThreadFactory("loop", true), NioIoHandler.newFactory());
+            1, new DefaultThreadFactory("loop", true), TRANSPORT.loops());
     this.loop = (EventLoop) group.next();
     Sockets sockets = new Sockets(config.sockets());
     long bodies =
@@ -69,7 +73,12 @@
     BodyBudget budget = new BodyBudget(bodies << 20);
     Upstreams upstreams =
         new Upstreams(
-            group, HttpProtocol.PLATFORM, config.connIdle(), config.connectTimeout(), sockets, log);
+            loop,
+            TRANSPORT,
+            HttpProtocol.PLATFORM,
+            PoolBounds.unbounded(config.connIdle(), config.connectTimeout()),
+            sockets,
+            log);
     this.dispatcher =
         new Dispatcher(loop, config.settings(), config.seed(), upstreams, budget, log);
     this.gate = new PlatformGate(dispatcher, config.settings());
--- a/src/main/java/corkproxy/standin/HttpStandIn.java
+++ b/src/main/java/corkproxy/standin/HttpStandIn.java
@@ -26,6 +26,9 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -109,6 +112,9 @@
   /** Fewer requests in that time never fell a host: chance makes as many. */
   private static final int FALL_LEAST = 10;
 
+  /** How long (ms) connections are open at once before they count as such. */
+  private static final long STILL_MS = 50;
+
   private static final int MAX_BODY = 1 << 20;
   private static final long SLOW_BYTE_MS = 20;
 
@@ -121,6 +127,7 @@
   private final Channel listener;
   private final SplittableRandom random;
   private final long startedAt = System.nanoTime();
+  private final Set<SocketChannel> open = new HashSet<>();
   private final ArrayDeque<Work> waiting = new ArrayDeque<>();
   private final ArrayDeque<Long> arrivals = new ArrayDeque<>();
   private final byte[] filler;
@@ -193,6 +200,7 @@
     return connections;
   }
 
+  /** The most that were open at once for 50 ms, as far as that has passed. */
   public int mostConnections() {
     return mostConnections;
   }
@@ -212,9 +220,20 @@
       ch.close();
       return;
     }
-    connections++;
-    mostConnections = Math.max(mostConnections, connections);
-    ch.closeFuture().addListener(f -> connections--);
+    open.add(ch);
+    connections = open.size();
+    ch.closeFuture()
+        .addListener(
+            f -> {
+              open.remove(ch);
+              connections = open.size();
+            });
+    if (connections > mostConnections) {
+      // A client that closes one connection and opens another holds one, and a busy loop may meet the two
+      // in either order: those count that are still there a moment later.
+      List<SocketChannel> now = List.copyOf(open);
+      loop.schedule(() -> countStill(now), STILL_MS, TimeUnit.MILLISECONDS);
+    }
     ch.pipeline()
         .addLast(
             new HttpServerCodec(),
@@ -232,6 +251,14 @@
             });
   }
 
+  private void countStill(List<SocketChannel> then) {
+    int still = 0;
+    for (SocketChannel ch : then) {
+      still += ch.isOpen() ? 1 : 0;
+    }
+    mostConnections = Math.max(mostConnections, still);
+  }
+
   private void arrived(ChannelHandlerContext ctx, FullHttpRequest r) {
     long now = System.nanoTime();
     lastArrival = now;
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -75,6 +75,15 @@
       this.answers = answers;
     }
 
+    /** Connections that have been accepted so far. */
+    public int connections() {
+      return open.size();
+    }
+
+    public int reusedAtOnce() {
+      return reusedAtOnce.get();
+    }
+
     @Override
     void serve(Socket s) throws IOException {
       String head;
