Stream bodies, pass errors, trailers, pipelines and HTTP/1.0 through

Need: a server's 500 with its body became an empty 502; pipelined requests, HTTP/1.0 and absolute targets were turned away, trailers lost, longer bodies could not pass at all, and servers never learned who called.

Change: routes may stream both ways with back-pressure end to end; the engine is told three facts for it (replayable, the answer begins, anything written). The 5xx that ends a request is passed on, a 503 to what may have run as 502. Requests sent ahead are taken one by one, at most pipeline of them held. Forwarded, X-Forwarded-* and Via with trusted networks, and limits by the caller they name. The decoder has a file of its own.

--- a/src/main/java/corkproxy/daemon/DaemonConfig.java
+++ b/src/main/java/corkproxy/daemon/DaemonConfig.java
@@ -2,6 +2,7 @@
 
 import corkproxy.balancer.Settings;
 import corkproxy.engine.Hosts;
+import corkproxy.http.Forwarding;
 import corkproxy.limits.Limit;
 import corkproxy.routing.PathForm;
 import corkproxy.routing.Rule;
@@ -53,7 +54,9 @@
       int maxBody,
       int slowMs,
       int idleMs,
-      int maxOpen) {}
+      int maxOpen,
+      int pipeline,
+      Forwarding forwarding) {}
 
   /** A pool of servers; {@code settings} is what its module is told. */
   record Pool(
@@ -61,6 +64,7 @@
       List<Hosts.Member> members,
       Settings settings,
       int maxAnswer,
+      boolean passErrors,
       double connIdle,
       double connectTimeout,
       int maxConnections,
@@ -74,6 +78,7 @@
     boolean continues(Pool other) {
       return settings.equals(other.settings)
           && maxAnswer == other.maxAnswer
+          && passErrors == other.passErrors
           && connIdle == other.connIdle
           && connectTimeout == other.connectTimeout;
     }
@@ -99,6 +104,7 @@
       SplitBy splitBy,
       String splitHeader,
       List<String> fallback,
+      boolean stream,
       String rewritePrefix,
       Map<String, String> setHeaders,
       List<String> removeHeaders) {}
--- a/src/main/java/corkproxy/daemon/DaemonGate.java
+++ b/src/main/java/corkproxy/daemon/DaemonGate.java
@@ -17,6 +17,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
@@ -33,6 +35,8 @@
   /** A host name, or an address in brackets, with a port or none. */
   private static final int MAX_HOST = 255;
 
+  private static final String SCHEME = "http://";
+
   private final Worker worker;
   private final Version version;
   private final DaemonConfig.Listener listener;
@@ -108,6 +112,9 @@
 
   @Override
   public Verdict judge(HttpRequest head, InetSocketAddress client) {
+    if (!originForm(head)) {
+      return Verdict.reject(400);
+    }
     String uri = head.uri();
     if (uri.equals(listener.healthPath())) {
       return Verdict.answer(ready() ? 200 : 503, 0);
@@ -117,7 +124,7 @@
     }
     int query = uri.indexOf('?');
     PathForm path = PathForm.of(query < 0 ? uri : uri.substring(0, query), listener.paths());
-    String host = host(head.headers());
+    String host = host(head);
     if (path == null || host == null || query >= 0 && !plain(uri, query)) {
       return Verdict.reject(400);
     }
@@ -133,6 +140,30 @@
     return route(head, client, path, query < 0 ? "" : uri.substring(query), rule);
   }
 
+  /**
+   * Makes an absolute-form target one of origin form (RFC 9112, 3.2.2): its authority takes the place of
+   * {@code Host}, before anything judges by either. False where it is none that can be served here.
+   */
+  private static boolean originForm(HttpRequest head) {
+    String uri = head.uri();
+    if (!uri.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+      return true;
+    }
+    int end = SCHEME.length();
+    while (end < uri.length() && uri.charAt(end) != '/' && uri.charAt(end) != '?') {
+      end++;
+    }
+    String authority = uri.substring(SCHEME.length(), end);
+    boolean old = head.protocolVersion().equals(HttpVersion.HTTP_1_0);
+    if (authority.isEmpty() || !old && Framing.single(head.headers(), HttpHeaderNames.HOST) == null) {
+      return false; // HTTP/1.1 has a Host all the same
+    }
+    head.headers().set(HttpHeaderNames.HOST, authority);
+    String rest = uri.substring(end);
+    head.setUri(rest.startsWith("/") ? rest : "/" + rest);
+    return true;
+  }
+
   private Verdict route(
       HttpRequest head,
       InetSocketAddress client,
@@ -163,7 +194,9 @@
       return Verdict.answer(400, 0); // a host may go by the other one
     }
     String tenant = h.get(listener.tenantHeader(), "");
-    String address = client == null ? "" : client.getAddress().getHostAddress();
+    InetAddress caller =
+        client == null ? null : listener.forwarding().caller(h, client.getAddress());
+    String address = caller == null ? "" : caller.getHostAddress();
     Grant grant =
         version.limiter.acquire(
             new Caller(listener.name(), route.name(), tenant, name, address), System.nanoTime());
@@ -178,9 +211,16 @@
       grant.release();
       return Verdict.answer(503, 0);
     }
+    if (caller != null) {
+      listener.forwarding().tell(h, client.getAddress(), caller);
+    }
     rewrite(head, route, rule, path, query);
     return Verdict.take(
-        target, arrival, fallback(route.fallback(), 0, pool, arrival, safe), grant::release);
+        target,
+        arrival,
+        fallback(route.fallback(), 0, pool, arrival, safe),
+        route.stream(),
+        grant::release);
   }
 
   private static boolean doubled(HttpHeaders h, String name) {
@@ -252,8 +292,13 @@
   }
 
   /** The host asked for in lower case without port or last dot, or null where it can't be one. */
-  private static String host(HttpHeaders headers) {
-    String h = Framing.single(headers, HttpHeaderNames.HOST);
+  private static String host(HttpRequest head) {
+    String h = Framing.single(head.headers(), HttpHeaderNames.HOST);
+    if (head.protocolVersion().equals(HttpVersion.HTTP_1_0)
+        && !head.headers().contains(HttpHeaderNames.HOST)) {
+      head.headers().set(HttpHeaderNames.HOST, ""); // what goes on is HTTP/1.1, which has one
+      return "";
+    }
     if (h == null || h.length() > MAX_HOST) {
       return null;
     }
--- a/src/main/java/corkproxy/daemon/OperatorFile.java
+++ b/src/main/java/corkproxy/daemon/OperatorFile.java
@@ -11,7 +11,9 @@
 import corkproxy.balancer.Settings;
 import corkproxy.engine.Addresses;
 import corkproxy.engine.Hosts;
+import corkproxy.http.Forwarding;
 import corkproxy.http.Headers;
+import corkproxy.http.Networks;
 import corkproxy.limits.Limit;
 import corkproxy.routing.PathForm;
 import corkproxy.routing.RouteCheck;
@@ -180,7 +182,11 @@
               s.integer("max_body_bytes", 64 * 1024, 0, 256 << 20),
               s.integer("slow_ms", 10_000, 100, 600_000),
               s.integer("idle_ms", 60_000, 100, 86_400_000),
-              s.integer("max_open", 100_000, 1, 10_000_000)));
+              s.integer("max_open", 100_000, 1, 10_000_000),
+              s.integer("pipeline", 16, 1, 10_000),
+              new Forwarding(
+                  s.word("forwarded", Forwarding.Mode.APPEND, Forwarding.Mode.class),
+                  networks(s))));
       s.end();
     }
     if (out.isEmpty()) {
@@ -189,6 +195,16 @@
     return out;
   }
 
+  private static Networks networks(Section s) {
+    List<String> texts = s.texts("trusted");
+    for (int i = 0; i < texts.size(); i++) {
+      if (Networks.fault(texts.get(i))) {
+        s.fault("trusted[" + i + "]", "'" + texts.get(i) + "'", "a network as 10.0.0.0/8 or fd00::/8, or an address");
+      }
+    }
+    return new Networks(texts.stream().filter(t -> !Networks.fault(t)).toList());
+  }
+
   private static String token(Section s, String key, String otherwise) {
     String t = s.text(key, otherwise, "the name of a header");
     if (!t.matches(TOKEN)) {
@@ -299,6 +315,7 @@
               members(s),
               settings,
               s.integer("max_answer_bytes", 1 << 20, 0, 256 << 20),
+              s.flag("pass_errors", true),
               s.number("idle_ms", 15_000, 100, 3_600_000),
               s.number("connect_timeout_ms", 250, 1, 60_000),
               s.integer("max_connections", 1_024, 1, 1_000_000),
@@ -425,7 +442,8 @@
       header(s, "remove_headers[" + i + "]", remove.get(i));
     }
     return new DaemonConfig.Route(
-        name, List.copyOf(at), match, className, split, splitBy, splitHeader, fallback, rewrite,
+        name, List.copyOf(at), match, className, split, splitBy, splitHeader, fallback,
+        s.flag("stream", false), rewrite,
         Map.copyOf(set), List.copyOf(remove));
   }
 
--- a/src/main/java/corkproxy/engine/Attempt.java
+++ b/src/main/java/corkproxy/engine/Attempt.java
@@ -89,6 +89,18 @@
     return connection;
   }
 
+  /**
+   * The answer begins to go to the client while it still comes. True once for a request: from then on
+   * its answer is this attempt's, and what breaks it off must be shown to the client as a break.
+   */
+  protected final boolean beginAnswer() {
+    if (!exchange.claim()) {
+      return false;
+    }
+    dispatcher.firstByte(exchange, number, dispatcher.now() - sentAt);
+    return true;
+  }
+
   /** Whether the last byte may have reached the host: the one place that says so. */
   protected final boolean mayHaveRun() {
     return connection != null && connection.written();
--- a/src/main/java/corkproxy/engine/Call.java
+++ b/src/main/java/corkproxy/engine/Call.java
@@ -9,6 +9,15 @@
   /** The request goes on as this exchange: the first one, or a further one in another pool. */
   void carriedBy(Exchange exchange);
 
+  /**
+   * Whether every byte of the request that has come is still held, so that another attempt can be sent.
+   * A request that streams loses that with the first byte past its replay bound; the engine then gives
+   * what the module still asks for back as known not to have run.
+   */
+  default boolean replayable() {
+    return true;
+  }
+
   /** An attempt of the exchange at the host, not started yet. */
   Attempt attempt(Exchange exchange, Host host, int number, double now);
 
--- a/src/main/java/corkproxy/engine/Dispatcher.java
+++ b/src/main/java/corkproxy/engine/Dispatcher.java
@@ -152,6 +152,10 @@
     deliver(e, () -> balancer.onOutcome(now(), e.id, number, result, spent, over, report));
   }
 
+  void firstByte(Exchange e, int number, double spent) {
+    deliver(e, () -> balancer.onFirstByte(now(), e.id, number, spent));
+  }
+
   void clientGone(Exchange e) {
     deliver(e, () -> balancer.onClientGone(now(), e.id));
   }
--- a/src/main/java/corkproxy/engine/Exchange.java
+++ b/src/main/java/corkproxy/engine/Exchange.java
@@ -1,6 +1,5 @@
 package corkproxy.engine;
 
-import corkproxy.balancer.Arrival;
 import corkproxy.balancer.LoadReport;
 import corkproxy.balancer.Result;
 import io.netty.util.concurrent.Future;
@@ -67,6 +66,7 @@
     open++;
     if (answered
         || !host.sendable
+        || !call.replayable()
         || attempts.size() > dispatcher.maxAttempts()
         || giveUpAfter < 0
         || dispatcher.now() >= deadlineAt
@@ -129,12 +129,7 @@
     answered = true;
     moved = true;
     forgetIfDone();
-    Arrival as = next.arrival();
-    next.dispatcher()
-        .take(
-            call,
-            new Arrival(0, as.className(), as.tenant(), left, as.estimate(), as.repeat()),
-            next.fallback());
+    next.dispatcher().take(call, next.arrival().within(left), next.fallback());
     return true;
   }
 
@@ -142,14 +137,25 @@
 
   /** The client has gone before its answer. */
   public void clientGone() {
-    if (answered) {
+    if (answered && open == 0) {
       return;
     }
     answered = true;
     dispatcher.clientGone(this);
+    for (int i = 0; i < attempts.size(); i++) {
+      if (attempts.get(i).open()) {
+        attempts.get(i).cancel(); // one whose answer streams has nobody to go to
+      }
+    }
     forgetIfDone();
   }
 
+  /** The client's side of the request broke: fails it, unless it is answered, and ends what is out for it. */
+  public void abandon() {
+    fail();
+    clientGone();
+  }
+
   private void timeUp() {
     for (int i = 0; i < attempts.size(); i++) {
       if (attempts.get(i).open()) {
--- /dev/null
+++ b/src/main/java/corkproxy/http/Forwarding.java
@@ -0,0 +1,159 @@
+package corkproxy.http;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.net.Inet6Address;
+import java.net.InetAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Who called, and what hosts are told of it: {@code Forwarded} (RFC 7239), the {@code X-Forwarded-*}
+ * headers, {@code X-Real-IP} and {@code Via} (RFC 9110, 7.6.3).
+ *
+ * <p>Guards limits and hosts against a caller that makes up an address: what a caller says of others is
+ * believed only where it comes from a trusted network. The caller is the last address of the chain that
+ * is not in one, read from the right, as each hop appends there.
+ *
+ * <pre>
+ *   Forwarded: for=made-up, for=203.0.113.7, for=10.0.0.5     from 10.0.0.9, trusted 10.0.0.0/8
+ *                                ^ the caller
+ * </pre>
+ */
+public final class Forwarding {
+  /** What becomes of the headers. */
+  public enum Mode {
+    /** The hop before this one is added to what a trusted one has told. */
+    APPEND,
+    /** Only the caller is told, whoever told what before. */
+    REPLACE,
+    /** Nothing is read, added or removed. */
+    OFF
+  }
+
+  private static final String[] CLAIMS = {
+    "Forwarded",
+    "X-Forwarded-For",
+    "X-Forwarded-Host",
+    "X-Forwarded-Proto",
+    "X-Forwarded-Port",
+    "X-Forwarded-Prefix",
+    "X-Forwarded-Server",
+    "X-Real-IP"
+  };
+
+  private static final String NAME = "leadferry";
+
+  private final Mode mode;
+  private final Networks trusted;
+
+  public Forwarding(Mode mode, Networks trusted) {
+    this.mode = mode;
+    this.trusted = trusted;
+  }
+
+  /** The caller of a request that came from {@code peer}. */
+  public InetAddress caller(HttpHeaders h, InetAddress peer) {
+    if (mode == Mode.OFF || !trusted.hold(peer)) {
+      return peer;
+    }
+    List<String> chain = h.contains("Forwarded") ? forwarded(h) : list(h, "X-Forwarded-For");
+    InetAddress caller = peer;
+    for (int i = chain.size() - 1; i >= 0; i--) {
+      InetAddress hop = node(chain.get(i));
+      if (hop == null) {
+        break; // hidden or unknown: what stands left of it can't be vouched for
+      }
+      caller = hop;
+      if (!trusted.hold(hop)) {
+        break;
+      }
+    }
+    return caller;
+  }
+
+  /** Writes what the host is to know into the request's headers. */
+  public void tell(HttpHeaders h, InetAddress peer, InetAddress caller) {
+    if (mode == Mode.OFF) {
+      return;
+    }
+    boolean keep = mode == Mode.APPEND && trusted.hold(peer);
+    if (!keep) {
+      for (String name : CLAIMS) {
+        h.remove(name);
+      }
+    }
+    InetAddress told = mode == Mode.APPEND ? peer : caller;
+    String host = h.get(HttpHeaderNames.HOST, "");
+    String address = told.getHostAddress();
+    String element =
+        "for=" + (told instanceof Inet6Address ? "\"[" + address + "]\"" : address)
+            + (host.isEmpty() ? "" : ";host=\"" + host + "\"") + ";proto=http";
+    append(h, "Forwarded", element);
+    append(h, "X-Forwarded-For", address);
+    if (!h.contains("X-Forwarded-Host") && !host.isEmpty()) {
+      h.set("X-Forwarded-Host", host);
+    }
+    if (!h.contains("X-Forwarded-Proto")) {
+      h.set("X-Forwarded-Proto", "http");
+    }
+    append(h, "Via", "1.1 " + NAME);
+  }
+
+  private static void append(HttpHeaders h, String name, String value) {
+    List<String> had = h.getAll(name);
+    h.set(name, had.isEmpty() ? value : String.join(", ", had) + ", " + value);
+  }
+
+  private static List<String> list(HttpHeaders h, String name) {
+    List<String> out = new ArrayList<>();
+    for (String line : h.getAll(name)) {
+      for (String s : line.split(",")) {
+        out.add(s.strip());
+      }
+    }
+    return out;
+  }
+
+  /** The {@code for} of each element, an empty text where it has none (RFC 7239, 4). */
+  private static List<String> forwarded(HttpHeaders h) {
+    List<String> out = new ArrayList<>();
+    for (String line : h.getAll("Forwarded")) {
+      boolean quoted = false;
+      int from = 0;
+      String node = "";
+      for (int i = 0; i <= line.length(); i++) {
+        char c = i == line.length() ? ',' : line.charAt(i);
+        if (c == '"') {
+          quoted = !quoted;
+        }
+        if (i < line.length() && (quoted || c != ',' && c != ';')) {
+          continue;
+        }
+        String pair = line.substring(from, i).strip();
+        from = i + 1;
+        if (pair.toLowerCase(Locale.ROOT).startsWith("for=")) {
+          node = pair.substring(4).replace("\"", "");
+        }
+        if (c == ',') {
+          out.add(node);
+          node = "";
+        }
+      }
+    }
+    return out;
+  }
+
+  /** An address with a port or none, IPv6 in brackets or plain; null for any other name of a node. */
+  private static InetAddress node(String text) {
+    String s = text;
+    if (s.startsWith("[")) {
+      int end = s.indexOf(']');
+      s = end < 0 ? "" : s.substring(1, end);
+    } else if (s.indexOf(':') >= 0 && s.indexOf(':') == s.lastIndexOf(':')) {
+      s = s.substring(0, s.indexOf(':'));
+    }
+    return Networks.address(s);
+  }
+}
--- a/src/main/java/corkproxy/http/Framing.java
+++ b/src/main/java/corkproxy/http/Framing.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.Set;
@@ -18,15 +17,19 @@
 
   private Framing() {}
 
-  /** The status to reject the head with, or 0; {@code judged} are headers that the gate goes by. */
-  static int fault(HttpRequest request, Set<String> judged, int maxBody) {
+  /**
+   * The status to reject the head with, or 0; {@code judged} are headers that the gate goes by, {@code
+   * old} tells whether HTTP/1.0 is spoken.
+   */
+  static int fault(HttpRequest request, Set<String> judged, boolean old) {
     HttpHeaders h = request.headers();
-    if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+    boolean is10 = request.protocolVersion().equals(HttpVersion.HTTP_1_0);
+    if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1) && !(is10 && old)) {
       return 505;
     }
     boolean encoded = h.contains(HttpHeaderNames.TRANSFER_ENCODING);
     if (h.getAll(HttpHeaderNames.HOST).size() > 1
-        || (encoded && h.contains(HttpHeaderNames.CONTENT_LENGTH))
+        || (encoded && (is10 || h.contains(HttpHeaderNames.CONTENT_LENGTH)))
         || (encoded
             && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
                 String.valueOf(single(h, HttpHeaderNames.TRANSFER_ENCODING))))
@@ -38,7 +41,7 @@
             String.valueOf(single(h, HttpHeaderNames.EXPECT)))) {
       return 417;
     }
-    return HttpUtil.getContentLength(request, 0L) > maxBody ? 413 : 0;
+    return 0;
   }
 
   /** The one value of a header, or null where it has none or several. */
--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -89,7 +89,7 @@
 
   /** Takes a connection that has been accepted; called on its loop. */
   public void accepted(SocketChannel ch) {
-    ClientConnection.Decoder decoder = new ClientConnection.Decoder();
+    RequestDecoder decoder = new RequestDecoder();
     sockets.clientOpened();
     // Not with the handlers: they never hear of a connection that was reset before its turn.
     ch.closeFuture().addListener(f -> sockets.clientClosed());
--- a/src/main/java/corkproxy/http/Headers.java
+++ b/src/main/java/corkproxy/http/Headers.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -67,6 +68,31 @@
     return true;
   }
 
+  /** Whether no trailer of a request is one that this program, or what frames a message, goes by. */
+  static boolean soundTrailers(HttpHeaders trailers, Set<String> byGate) {
+    for (String name : trailers.names()) {
+      String lower = name.toLowerCase(Locale.ROOT);
+      if (FRAMING.contains(lower) || judged(lower, byGate)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** The trailers of an answer that may be passed on. */
+  static HttpHeaders passable(HttpHeaders trailers) {
+    if (trailers.isEmpty()) {
+      return NONE;
+    }
+    HttpHeaders out = DefaultHttpHeadersFactory.trailersFactory().newHeaders();
+    for (Map.Entry<String, String> t : trailers) {
+      if (!FRAMING.contains(t.getKey().toLowerCase(Locale.ROOT))) {
+        out.add(t.getKey(), t.getValue());
+      }
+    }
+    return out;
+  }
+
   /** Removes what belongs to the connection that it came on. */
   static void dropHopByHop(HttpHeaders headers) {
     for (String named : headers.getAll(HttpHeaderNames.CONNECTION)) {
--- a/src/main/java/corkproxy/http/HttpAttempt.java
+++ b/src/main/java/corkproxy/http/HttpAttempt.java
@@ -6,8 +6,10 @@
 import corkproxy.engine.Body;
 import corkproxy.engine.Exchange;
 import corkproxy.engine.Host;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -22,6 +24,9 @@
   private HttpResponse head;
   private Body body;
   private long length;
+  private boolean uploaded;
+  private boolean streaming;
+  private boolean error;
 
   HttpAttempt(HttpCall call, Exchange exchange, Host host, int number, double now) {
     super(exchange, host, number, now);
@@ -37,7 +42,55 @@
     if (call.isHead()) {
       wire().expectNoBody();
     }
-    return call.writeTo(channel, exchange.remainingMs());
+    ChannelFuture written = call.writeTo(channel, exchange.remainingMs());
+    if (call.upload() == null) {
+      return written;
+    }
+    // Its bytes follow; the first of them makes it one that may have run, so its head does.
+    call.upload().startedBy(this);
+    return written;
+  }
+
+  /** Part of a body that goes on while it comes; the bytes are this attempt's now. */
+  void upload(ByteBuf bytes) {
+    if (over() || connection() == null) {
+      bytes.release();
+    } else {
+      connection().channel().writeAndFlush(new DefaultHttpContent(bytes));
+    }
+  }
+
+  void uploadEnds(HttpHeaders trailers) {
+    if (!over() && connection() != null) {
+      connection()
+          .channel()
+          .writeAndFlush(HttpCall.last(trailers))
+          .addListener(f -> uploaded = f.isSuccess());
+    }
+  }
+
+  /** Whether the host's socket takes more of the body. */
+  boolean takesMore() {
+    return connection() != null && connection().channel().isWritable();
+  }
+
+  /** The host's socket takes more, or no more for now. */
+  void hostWritable() {
+    if (call.upload() != null) {
+      call.upload().flow();
+    }
+  }
+
+  /** Whether all of the request has gone out, so that its connection may carry another. */
+  boolean sentWhole() {
+    return call.upload() == null ? mayHaveRun() : uploaded;
+  }
+
+  /** The client takes more of an answer that streams. */
+  void clientTakesMore() {
+    if (!over() && connection() != null) {
+      connection().channel().config().setAutoRead(true);
+    }
   }
 
   @Override
@@ -53,16 +106,26 @@
     if (status == 200 || protocol.passAll() && status < 500) {
       if (!mayHaveRun()) {
         finish(Result.CONNECT_FAILED); // no host can serve what it has not been sent
-      } else if (!framed(reply, protocol.maxAnswer())) {
+      } else if (!framed(reply)) {
         broken();
       } else {
-        head = reply;
-        length = HttpUtil.getContentLength(reply, -1L);
+        collect(reply);
       }
       return;
     }
     boolean turnedAway =
         (status == 503 || status == 504) && "1".equals(reply.headers().get("X-Not-Processed"));
+    if (status >= 500
+        && protocol.passErrors()
+        && !turnedAway
+        && mayHaveRun()
+        && framed(reply)
+        && HttpUtil.getContentLength(reply, 0L) <= protocol.maxAnswer()) {
+      error = true; // its body may be what the client gets; the module hears of it with its end
+      head = reply;
+      length = HttpUtil.getContentLength(reply, -1L);
+      return;
+    }
     wire().discardRest();
     if (status >= 400 && status < 500) {
       // A host found fault with the request itself. Guards against a client's mistake that counts
@@ -76,18 +139,36 @@
     }
   }
 
-  /** Whether the end of the answer can be told from its connection's, and it is no longer than any. */
-  private boolean framed(HttpResponse reply, int maxAnswer) {
-    HttpHeaders h = reply.headers();
+  /** An answer that is served: passed on while it comes, or kept until it is whole. */
+  private void collect(HttpResponse reply) {
+    head = reply;
+    length = HttpUtil.getContentLength(reply, -1L);
+    if (!bodiless(reply) && call.streams(length)) {
+      if (beginAnswer()) {
+        streaming = true;
+        call.begin(this, reply, length);
+      } else {
+        finish(Result.CANCELLED);
+      }
+    } else if (length > wire().protocol.maxAnswer()) {
+      broken(); // no answer is so long
+    }
+  }
+
+  private boolean bodiless(HttpResponse reply) {
     int status = reply.status().code();
-    if (wire().expectsNoBody() || status == 204 || status == 304) {
+    return wire().expectsNoBody() || status == 204 || status == 304;
+  }
+
+  /** Whether the end of the answer can be told from its connection's. */
+  private boolean framed(HttpResponse reply) {
+    HttpHeaders h = reply.headers();
+    if (bodiless(reply)) {
       return true;
     }
     boolean chunked = h.contains(HttpHeaderNames.TRANSFER_ENCODING);
     boolean sized = h.contains(HttpHeaderNames.CONTENT_LENGTH);
-    return chunked != sized
-        && (!chunked || HttpUtil.isTransferEncodingChunked(reply))
-        && HttpUtil.getContentLength(reply, 0L) <= maxAnswer;
+    return chunked != sized && (!chunked || HttpUtil.isTransferEncodingChunked(reply));
   }
 
   /** Part of the answer's body. */
@@ -96,6 +177,12 @@
     if (n == 0) {
       return;
     }
+    if (streaming) {
+      if (!call.pass(part.content().retain()) && connection() != null) {
+        connection().channel().config().setAutoRead(false);
+      }
+      return;
+    }
     if (body == null) {
       body = dispatcher().newBody(length, false);
     }
@@ -118,11 +205,22 @@
   }
 
   /** The answer is whole. */
-  void end() {
+  void end(HttpHeaders trailers) {
     Body whole = body;
     body = null;
+    if (streaming) {
+      streaming = false;
+      call.finish(trailers);
+      finish(Result.OK);
+      return;
+    }
+    if (error) {
+      call.keepError(head, whole, trailers);
+      finish(Result.ERROR);
+      return;
+    }
     if (exchange.claim()) {
-      call.served(head, whole);
+      call.served(head, whole, trailers);
     } else if (whole != null) {
       whole.free();
     }
@@ -139,6 +237,13 @@
   @Override
   protected void release() {
     dispatcher().budget().forget(resume);
+    if (call.upload() != null) {
+      call.upload().endedBy(this);
+    }
+    if (streaming) {
+      streaming = false;
+      call.cut(); // its client sees that the answer is not whole
+    }
     if (body != null) {
       body.free();
       body = null;
--- a/src/main/java/corkproxy/http/HttpCall.java
+++ b/src/main/java/corkproxy/http/HttpCall.java
@@ -12,31 +12,67 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
-/** An HTTP request that has come whole, kept until its last attempt is over. */
+/** An HTTP request, kept until its last attempt is over. */
 final class HttpCall implements Call {
   private final ClientConnection client;
   private final HttpRequest head;
   private final Body body;
+  private final Upload upload;
+  private final HttpHeaders trailers;
+  private final boolean streams;
+  private final boolean chunked;
   private Exchange exchange;
+  private HttpAttempt answering;
+  private HttpResponse error;
+  private Body errorBody;
+  private HttpHeaders errorTrailers;
 
-  HttpCall(ClientConnection client, HttpRequest head, Body body) {
+  /**
+   * A request whose body has come whole, or comes as {@code upload}; {@code streams} lets its answer
+   * go on while it comes.
+   */
+  HttpCall(
+      ClientConnection client,
+      HttpRequest head,
+      Body body,
+      Upload upload,
+      HttpHeaders trailers,
+      boolean streams) {
     this.client = client;
     this.head = head;
     this.body = body;
-    Headers.dropHopByHop(head.headers());
-    if (body != null) {
-      head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size());
+    this.upload = upload;
+    this.trailers = trailers;
+    this.streams = streams;
+    HttpHeaders h = head.headers();
+    boolean takesTrailers = h.containsValue(HttpHeaderNames.TE, HttpHeaderValues.TRAILERS, true);
+    this.chunked =
+        upload != null ? !h.contains(HttpHeaderNames.CONTENT_LENGTH) : !trailers.isEmpty();
+    Headers.dropHopByHop(h);
+    if (chunked) {
+      h.remove(HttpHeaderNames.CONTENT_LENGTH);
+      h.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    } else if (body != null) {
+      h.set(HttpHeaderNames.CONTENT_LENGTH, body.size());
+    }
+    if (takesTrailers) {
+      // Ours to this host: trailers are passed on.
+      h.set(HttpHeaderNames.TE, HttpHeaderValues.TRAILERS);
+      h.set(HttpHeaderNames.CONNECTION, HttpHeaderNames.TE);
     }
-    head.headers().remove(HttpHeaderNames.EXPECT);
+    h.remove(HttpHeaderNames.EXPECT);
   }
 
   @Override
@@ -54,13 +90,27 @@
 
   @Override
   public Attempt attempt(Exchange by, Host host, int number, double now) {
+    forgetError(); // only an error that ends the request is passed on
     return new HttpAttempt(this, by, host, number, now);
   }
 
+  @Override
+  public boolean replayable() {
+    return upload == null || upload.replayable();
+  }
+
+  Upload upload() {
+    return upload;
+  }
+
   ChannelFuture writeTo(Channel channel, long remainingMs) {
     HttpHeaders h = head.headers();
     h.set("X-Timeout-Ms", remainingMs);
-    if (body == null || body.size() == 0) {
+    if (upload != null) {
+      return channel.writeAndFlush(
+          new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), h));
+    }
+    if (!chunked && (body == null || body.size() == 0)) {
       return channel.writeAndFlush(
           new DefaultFullHttpRequest(
               HttpVersion.HTTP_1_1,
@@ -70,8 +120,8 @@
               h,
               Headers.NONE));
     }
-    List<ByteBuf> blocks = body.retained();
-    if (blocks.size() == 1) {
+    List<ByteBuf> blocks = body == null ? List.of() : body.retained();
+    if (blocks.size() == 1 && !chunked) {
       return channel.writeAndFlush(
           new DefaultFullHttpRequest(
               HttpVersion.HTTP_1_1, head.method(), head.uri(), blocks.get(0), h, Headers.NONE));
@@ -80,11 +130,83 @@
     for (ByteBuf b : blocks) {
       channel.write(new DefaultHttpContent(b));
     }
-    return channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    return channel.writeAndFlush(last(trailers));
+  }
+
+  /** The end of a chunked body, with its trailers. */
+  static LastHttpContent last(HttpHeaders trailers) {
+    return trailers.isEmpty()
+        ? LastHttpContent.EMPTY_LAST_CONTENT
+        : new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER, trailers);
+  }
+
+  void served(HttpResponse reply, Body whole, HttpHeaders with) {
+    client.answer(reply, reply.status(), whole, Headers.passable(with));
+  }
+
+  // --- an answer that streams
+
+  /** Whether an answer of this length (-1 for not told) goes on while it comes. */
+  boolean streams(long length) {
+    return streams && client.canStream(length);
+  }
+
+  void begin(HttpAttempt by, HttpResponse reply, long length) {
+    answering = by;
+    client.begin(reply, length);
   }
 
-  void served(HttpResponse reply, Body whole) {
-    client.answer(reply, whole);
+  boolean pass(ByteBuf bytes) {
+    return client.pass(bytes);
+  }
+
+  void finish(HttpHeaders with) {
+    answering = null;
+    client.finish(Headers.passable(with));
+  }
+
+  void cut() {
+    answering = null;
+    client.cut();
+  }
+
+  /** The client takes more of the answer. */
+  void writable() {
+    if (answering != null) {
+      answering.clientTakesMore();
+    }
+  }
+
+  // --- an error of a host's that may end the request
+
+  void keepError(HttpResponse reply, Body whole, HttpHeaders with) {
+    error = reply;
+    errorBody = whole;
+    errorTrailers = with;
+  }
+
+  private void forgetError() {
+    error = null;
+    if (errorBody != null) {
+      errorBody.free();
+      errorBody = null;
+    }
+  }
+
+  /**
+   * Passes the error on. Guards rule 2 against a host's own 503: to a client it says that sending
+   * again is harmless, which holds only where the class may be repeated or nothing has run.
+   */
+  private void passError(boolean refused) {
+    HttpResponse reply = error;
+    Body whole = errorBody;
+    error = null;
+    errorBody = null;
+    client.answer(
+        reply,
+        reply.status().code() == 503 && !refused ? HttpResponseStatus.BAD_GATEWAY : reply.status(),
+        whole,
+        Headers.passable(errorTrailers));
   }
 
   void answer(int status) {
@@ -93,18 +215,30 @@
 
   @Override
   public void refused(double coolDownMs) {
-    client.answer(503, coolDownMs);
+    if (error != null) {
+      passError(true); // its attempts are used up, and the last of them says why
+    } else {
+      client.answer(503, coolDownMs);
+    }
   }
 
   @Override
   public void failed(boolean timeUp) {
-    client.answer(timeUp ? 504 : 502, 0);
+    if (error != null && !timeUp) {
+      passError(false);
+    } else {
+      client.answer(timeUp ? 504 : 502, 0);
+    }
   }
 
   @Override
   public void free() {
+    forgetError();
     if (body != null) {
       body.free();
     }
+    if (upload != null) {
+      upload.free();
+    }
   }
 }
--- a/src/main/java/corkproxy/http/HttpProtocol.java
+++ b/src/main/java/corkproxy/http/HttpProtocol.java
@@ -14,10 +14,11 @@
  * @param maxAnswer bytes of an answer's body; a longer one is spoilt
  * @param passAll whether any answer below 500 is served as it is; else only a 200 is, and a host's
  *     4xx is told to the client without its body
+ * @param passErrors whether a host's 5xx that ends its request is served as it is
  */
-public record HttpProtocol(int maxAnswer, boolean passAll) implements Protocol {
+public record HttpProtocol(int maxAnswer, boolean passAll, boolean passErrors) implements Protocol {
   /** Hosts as the platform's protocol has them. */
-  public static final HttpProtocol PLATFORM = new HttpProtocol(64 * 1024, false);
+  public static final HttpProtocol PLATFORM = new HttpProtocol(64 * 1024, false, false);
 
   static final HttpDecoderConfig DECODER = new HttpDecoderConfig().setMaxInitialLineLength(8_192)
       .setMaxHeaderSize(16_384).setMaxChunkSize(16_384).setInitialBufferSize(256);
--- a/src/main/java/corkproxy/http/HttpUpstreamConnection.java
+++ b/src/main/java/corkproxy/http/HttpUpstreamConnection.java
@@ -122,6 +122,13 @@
     }
   }
 
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (attempt() != null) {
+      ((HttpAttempt) attempt()).hostWritable();
+    }
+  }
+
   private void head(HttpResponse head) {
     HttpStatusClass kind = head.status().codeClass();
     if (kind == HttpStatusClass.INFORMATIONAL) {
@@ -139,8 +146,7 @@
       return;
     }
     reply = Reply.BODY;
-    // An answer ahead of the request's last byte leaves a half-sent request behind it.
-    keep = written() && HttpUtil.isKeepAlive(head);
+    keep = HttpUtil.isKeepAlive(head);
     a.head(head);
   }
 
@@ -154,8 +160,10 @@
     if (a != null) {
       a.content(part);
       if (last && attempt() == a) {
+        // An answer ahead of the request's last byte leaves a half-sent request behind it.
+        keep &= a.sentWhole();
         ended();
-        a.end();
+        a.end(((LastHttpContent) part).trailingHeaders());
       }
     } else {
       unwanted += part.content().readableBytes();
@@ -179,6 +187,7 @@
   /** The attempt has learned all it needs from the head; the connection may still be of use. */
   void discardRest() {
     if (attempt() != null) {
+      keep &= ((HttpAttempt) attempt()).sentWhole();
       reply = Reply.UNWANTED;
       unwanted = 0;
       detach(keep);
--- /dev/null
+++ b/src/main/java/corkproxy/http/Networks.java
@@ -0,0 +1,80 @@
+package corkproxy.http;
+
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A set of networks: {@code 10.0.0.0/8}, {@code fd00::/8}, or an address by itself (RFC 4632, RFC 4291). */
+public final class Networks {
+  private record Network(byte[] address, int bits) {
+    boolean holds(byte[] other) {
+      if (other.length != address.length) {
+        return false;
+      }
+      for (int bit = 0; bit < bits; bit += 8) {
+        int mask = bits - bit >= 8 ? 0xff : 0xff << (8 - (bits - bit)) & 0xff;
+        if (((address[bit / 8] ^ other[bit / 8]) & mask) != 0) {
+          return false;
+        }
+      }
+      return true;
+    }
+  }
+
+  private final List<Network> networks = new ArrayList<>();
+
+  /**
+   * These networks.
+   *
+   * @throws IllegalArgumentException if a text is none, see {@link #fault}
+   */
+  public Networks(List<String> texts) {
+    for (String t : texts) {
+      Network n = parse(t);
+      if (n == null) {
+        throw new IllegalArgumentException("network: " + t + " (expected: address/bits)");
+      }
+      networks.add(n);
+    }
+  }
+
+  /** Whether this text names no network. */
+  public static boolean fault(String text) {
+    return parse(text) == null;
+  }
+
+  private static Network parse(String text) {
+    int slash = text.indexOf('/');
+    byte[] address =
+        NetUtil.createByteArrayFromIpAddressString(slash < 0 ? text : text.substring(0, slash));
+    if (address == null) {
+      return null;
+    }
+    int most = address.length * 8;
+    double bits = slash < 0 ? most : Framing.whole(text.substring(slash + 1));
+    return bits >= 0 && bits <= most ? new Network(address, (int) bits) : null;
+  }
+
+  /** Whether one of them holds the address. */
+  public boolean hold(InetAddress address) {
+    byte[] bytes = address.getAddress();
+    for (int i = 0; i < networks.size(); i++) {
+      if (networks.get(i).holds(bytes)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** The address that a text writes, or null; names are not looked up. */
+  static InetAddress address(String text) {
+    byte[] bytes = NetUtil.createByteArrayFromIpAddressString(text);
+    try {
+      return bytes == null ? null : InetAddress.getByAddress(bytes);
+    } catch (UnknownHostException e) {
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/http/Upload.java
@@ -0,0 +1,122 @@
+package corkproxy.http;
+
+import corkproxy.engine.Body;
+import corkproxy.engine.BodyBudget;
+import corkproxy.engine.Dispatcher;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * The body of a request that goes on to a host while it comes from its client.
+ *
+ * <p>What has come is kept while all of it fits the replay bound, so that a further attempt can be
+ * sent the whole of it. With the first byte past that, once an attempt takes the body, it is let go:
+ * from then on no other attempt can be sent. Memory is bounded by the replay bound, one read, and
+ * the marks of the host's socket: the client is read from only while somebody takes what it sends.
+ *
+ * <pre>
+ *   client  --bytes--> [ kept, at most REPLAY ] --> attempt 1 ... ends
+ *                                     +---------->  attempt 2       (all of it again)
+ *           --more---> let go ------------------->  attempt 2, the last one
+ * </pre>
+ */
+final class Upload {
+  /** Bytes of a body that are kept for another attempt. */
+  static final int REPLAY = 64 * 1024;
+
+  /** What one read may bring past the bound before the client is held. */
+  private static final int READ = 16 * 1024;
+
+  private final ClientConnection client;
+  private final BodyBudget budget;
+  private final Body kept;
+  private HttpAttempt taker;
+  private HttpHeaders trailers;
+  private boolean replayable = true;
+  private long received;
+  private long lastAt = System.nanoTime();
+  private boolean waits;
+
+  Upload(ClientConnection client, Dispatcher pool, BodyBudget budget) {
+    this.client = client;
+    this.budget = budget;
+    this.kept = pool.newBody(-1, true);
+  }
+
+  /** Part of the body; the bytes stay the caller's. */
+  void content(ByteBuf bytes) {
+    lastAt = System.nanoTime();
+    received += bytes.readableBytes();
+    ByteBuf part = bytes.retainedDuplicate();
+    if (replayable) {
+      kept.append(bytes);
+      if (taker != null && (received > REPLAY || budget.full(received))) {
+        letGo();
+      }
+    }
+    if (taker != null) {
+      taker.upload(part);
+    } else {
+      part.release();
+    }
+    flow();
+  }
+
+  /** Its end has come, with these trailers. */
+  void end(HttpHeaders with) {
+    trailers = with;
+    kept.completed();
+    if (taker != null) {
+      taker.uploadEnds(with);
+    }
+  }
+
+  boolean replayable() {
+    return replayable;
+  }
+
+  /** An attempt takes the body, from its first byte on; its head has been written. */
+  void startedBy(HttpAttempt attempt) {
+    taker = attempt;
+    for (ByteBuf block : kept.retained()) {
+      attempt.upload(block);
+    }
+    if (received > REPLAY) {
+      letGo();
+    }
+    if (trailers != null) {
+      attempt.uploadEnds(trailers);
+    }
+    flow();
+  }
+
+  /** That attempt is over. */
+  void endedBy(HttpAttempt attempt) {
+    if (taker == attempt) {
+      taker = null;
+      flow();
+    }
+  }
+
+  /** Reads on from the client only while what it sends has somewhere to go. */
+  void flow() {
+    boolean room = taker != null ? taker.takesMore() : replayable && received <= REPLAY - READ;
+    waits = !room;
+    client.reading(room);
+  }
+
+  /** Whether the client has been waited for in vain for so long (ns). */
+  boolean stalled(long now, long most) {
+    return trailers == null && !waits && now - lastAt > most;
+  }
+
+  private void letGo() {
+    replayable = false;
+    kept.free();
+  }
+
+  void free() {
+    replayable = false;
+    kept.free();
+  }
+}
--- a/src/main/java/corkproxy/proxy/PlatformGate.java
+++ b/src/main/java/corkproxy/proxy/PlatformGate.java
@@ -91,7 +91,7 @@
             timeout,
             estimate(h.get("X-Cost")),
             "1".equals(h.get("X-Retried")));
-    return Verdict.take(pool, arrival, null, null);
+    return Verdict.take(pool, arrival, null, false, null);
   }
 
   /** The work expected, which clients state in microseconds and the module takes in ms. */
