--- a/src/main/java/corkproxy/cli/StandInCommand.java
+++ b/src/main/java/corkproxy/cli/StandInCommand.java
@@ -2,6 +2,7 @@
 
 import corkproxy.standin.HttpStandIn;
 import corkproxy.standin.Ledger;
+import corkproxy.standin.QuickStandIn;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -55,6 +56,15 @@
 
   @Override
   public Integer call() throws InterruptedException {
+    if (serviceMs <= 0 && fault == HttpStandIn.Fault.NONE && !reports) {
+      // Nothing to imitate: as quick as sockets are, so that it is not what a measurement measures.
+      try (QuickStandIn host = new QuickStandIn(name, port, bodyBytes)) {
+        System.out.println(name + " at " + host.place());
+        Thread.sleep(seconds > 0 ? (long) (seconds * 1e3) : Long.MAX_VALUE);
+        System.out.println(name + ": " + host.answered() + " answered");
+      }
+      return 0;
+    }
     Ledger ledger = new Ledger(LEDGER);
     HttpStandIn.Options o =
         new HttpStandIn.Options(
--- a/src/main/java/corkproxy/standin/LoadGenerator.java
+++ b/src/main/java/corkproxy/standin/LoadGenerator.java
@@ -1,5 +1,6 @@
 package corkproxy.standin;
 
+import corkproxy.engine.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -9,18 +10,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -79,6 +71,8 @@
   private final AtomicLong servedInTime = new AtomicLong();
   private final Histogram[] served;
   private final long[][] outcomes;
+  private final Template[] templates;
+  private final Transport transport = QuickStandIn.transport();
 
   /** {@code sink} hears of every request that is over, on one of the load's threads; may be null. */
   public LoadGenerator(Plan plan, Consumer<Done> sink) {
@@ -86,8 +80,9 @@
     this.sink = sink;
     this.group =
         new MultiThreadIoEventLoopGroup(
-            plan.threads(), new DefaultThreadFactory("load", true), NioIoHandler.newFactory());
+            plan.threads(), new DefaultThreadFactory("load", true), transport.loops());
     this.lanesDone = new CountDownLatch(plan.threads());
+    this.templates = plan.kinds().stream().map(Template::of).toArray(Template[]::new);
     this.served = new Histogram[plan.kinds().size()];
     this.outcomes = new long[plan.kinds().size()][Outcome.values().length];
     for (int i = 0; i < served.length; i++) {
@@ -205,14 +200,14 @@
       this.bootstrap =
           new Bootstrap()
               .group(loop)
-              .channel(NioSocketChannel.class)
+              .channel(transport.connection())
               .option(ChannelOption.TCP_NODELAY, true)
               .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000)
               .handler(
                   new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                      ch.pipeline().addLast(new HttpResponseDecoder(), new Connection(Lane.this, ch));
+                      ch.pipeline().addLast(new Connection(Lane.this, ch));
                     }
                   });
     }
@@ -317,12 +312,48 @@
     }
   }
 
+  /** The bytes of a kind's request around its id. */
+  private record Template(byte[] before, byte[] after, boolean keyed, byte[] end, boolean head) {
+    static Template of(Kind k) {
+      boolean keyed = k.headers().contains("Idempotency-Key");
+      String length =
+          k.bodyBytes() > 0 || !k.method().equals("GET")
+              ? "Content-Length: " + k.bodyBytes() + "\r\n"
+              : "";
+      return new Template(
+          QuickStandIn.ascii(
+              k.method() + " " + k.path() + " HTTP/1.1\r\nHost: load.test\r\nX-Request-ID: "),
+          QuickStandIn.ascii("\r\n" + k.headers()),
+          keyed,
+          QuickStandIn.ascii((keyed ? "\r\n" : "") + length + "\r\n" + " ".repeat(k.bodyBytes())),
+          k.method().equals("HEAD"));
+    }
+  }
+
+  private enum Reading {
+    HEAD,
+    SIZED,
+    CHUNK_HEAD,
+    CHUNK,
+    TRAILERS
+  }
+
+  private static final byte[] ID = QuickStandIn.ascii("x-request-id");
+  private static final byte[] LENGTH = QuickStandIn.ascii("content-length");
+  private static final byte[] ENCODING = QuickStandIn.ascii("transfer-encoding");
+  private static final byte[] CONNECTION = QuickStandIn.ascii("connection");
+  private static final byte[] CLOSE = QuickStandIn.ascii("close");
+
   private final class Connection extends ChannelInboundHandlerAdapter {
     private final Lane lane;
     private final Channel channel;
+    private final HeadBytes in = new HeadBytes();
+    private Reading reading = Reading.HEAD;
+    private long left;
     private Request request;
+    private byte[] id;
     private int status;
-    private String echoed;
+    private boolean own;
     private boolean keep;
 
     Connection(Lane lane, Channel channel) {
@@ -332,20 +363,14 @@
 
     void write(Request r) {
       request = r;
-      Kind k = plan.kinds().get(r.kind);
-      StringBuilder s = new StringBuilder(256);
-      s.append(k.method()).append(' ').append(k.path()).append(" HTTP/1.1\r\nHost: load.test\r\n")
-          .append("X-Request-ID: ").append(r.id).append("\r\n").append(k.headers());
-      if (k.headers().contains("Idempotency-Key")) {
-        s.append(r.id).append("\r\n");
-      }
-      if (k.bodyBytes() > 0 || !k.method().equals("GET")) {
-        s.append("Content-Length: ").append(k.bodyBytes()).append("\r\n");
+      id = QuickStandIn.ascii(r.id);
+      Template t = templates[r.kind];
+      ByteBuf b = channel.alloc().ioBuffer(t.before.length + t.after.length + t.end.length + 2 * id.length);
+      b.writeBytes(t.before).writeBytes(id).writeBytes(t.after);
+      if (t.keyed) {
+        b.writeBytes(id);
       }
-      s.append("\r\n").append(" ".repeat(k.bodyBytes()));
-      ByteBuf b = channel.alloc().buffer(s.length());
-      b.writeCharSequence(s, StandardCharsets.US_ASCII);
-      channel.writeAndFlush(b);
+      channel.writeAndFlush(b.writeBytes(t.end), channel.voidPromise());
     }
 
     @Override
@@ -356,29 +381,121 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
+      ByteBuf read = (ByteBuf) msg;
       try {
-        if (msg instanceof HttpResponse head) {
-          status = head.decoderResult().isFailure() ? 0 : head.status().code();
-          echoed = head.headers().get("X-Request-ID");
-          keep = HttpUtil.isKeepAlive(head);
+        while (read.isReadable()) {
+          if (reading == Reading.SIZED || reading == Reading.CHUNK) {
+            int n = (int) Math.min(left, read.readableBytes());
+            read.skipBytes(n);
+            left -= n;
+          } else if (!in.add(read)) {
+            channel.close();
+            return;
+          }
+          while (step()) {}
         }
-        if (msg instanceof LastHttpContent && request != null) {
+      } finally {
+        read.release();
+      }
+    }
+
+    /** Goes on in what has come; false where more has to come first. */
+    private boolean step() {
+      if (request == null) {
+        if (in.to > in.from || left > 0) {
+          channel.close(); // more than was asked for
+        }
+        return false;
+      }
+      switch (reading) {
+        case HEAD -> {
+          int end = in.headEnd();
+          if (end < 0) {
+            return false;
+          }
+          head(end);
+          return true;
+        }
+        case SIZED, CHUNK -> {
+          int n = (int) Math.min(left, in.to - in.from);
+          in.from += n;
+          left -= n;
+          if (left > 0) {
+            return false;
+          }
+          if (reading == Reading.CHUNK) {
+            reading = Reading.CHUNK_HEAD;
+          } else {
+            done();
+          }
+          return true;
+        }
+        default -> {
+          int end = -1;
+          for (int i = in.from; i < in.to && end < 0; i++) {
+            end = in.bytes[i] == '\n' ? i + 1 : -1;
+          }
+          if (end < 0) {
+            return false;
+          }
+          line(end);
+          return true;
+        }
+      }
+    }
+
+    private void head(int end) {
+      status = (int) in.number(in.from + 9, 10);
+      own = true;
+      keep = true;
+      left = 0;
+      reading = Reading.SIZED;
+      for (int line = in.nextLine(in.from); line < end - 2; line = in.nextLine(line)) {
+        int at;
+        if ((at = in.value(line, ID)) > 0) {
+          own = in.is(at, in.lineEnd(at), id);
+        } else if ((at = in.value(line, LENGTH)) > 0) {
+          left = in.number(at, 10);
+        } else if (in.value(line, ENCODING) > 0) {
+          reading = Reading.CHUNK_HEAD;
+        } else if ((at = in.value(line, CONNECTION)) > 0) {
+          keep = !in.is(at, in.lineEnd(at), CLOSE);
+        }
+      }
+      in.from = end;
+      if (status < 200) {
+        reading = Reading.HEAD; // another head follows
+      } else if (templates[request.kind].head || status == 204 || status == 304) {
+        left = 0;
+        reading = Reading.SIZED;
+      }
+    }
+
+    /** A line of a chunked body's own, which ends there. */
+    private void line(int end) {
+      boolean empty = end - in.from == 2;
+      if (reading == Reading.TRAILERS) {
+        in.from = end;
+        if (empty) {
           done();
-        } else if (msg instanceof HttpContent && request == null) {
-          channel.close();
         }
-      } finally {
-        ReferenceCountUtil.release(msg);
+      } else {
+        left = empty ? 0 : in.number(in.from, 16);
+        in.from = end;
+        if (!empty) {
+          reading = left == 0 ? Reading.TRAILERS : Reading.CHUNK;
+        }
       }
     }
 
     private void done() {
       Request r = request;
       request = null;
+      reading = Reading.HEAD;
       lane.busy.remove(this);
       Outcome o =
           status >= 200 && status < 300
-              ? echoed == null || echoed.equals(r.id) ? Outcome.SERVED : Outcome.WRONG
+              ? own ? Outcome.SERVED : Outcome.WRONG
               : status == 429 || status == 503 ? Outcome.REFUSED : Outcome.FAILED;
       lane.end(r, o);
       if (keep) {
