Don't take the silence of a host that still gets its request for its own

Cause: a safe upload that took longer than its aim was called off as overdue, since its host had said nothing, or a second copy was sent beside it. Ten uploads of 1 GiB: none arrived. Change: while a request still comes, the module's cancel of an attempt is not carried out, and a body that streams goes to one attempt at a time.

--- a/src/main/java/corkproxy/engine/Call.java
+++ b/src/main/java/corkproxy/engine/Call.java
@@ -18,6 +18,11 @@
     return true;
   }
 
+  /** Whether bytes of the request are still to come from its client. */
+  default boolean comes() {
+    return false;
+  }
+
   /** An attempt of the exchange at the host, not started yet. */
   Attempt attempt(Exchange exchange, Host host, int number, double now);
 
--- a/src/main/java/corkproxy/engine/Exchange.java
+++ b/src/main/java/corkproxy/engine/Exchange.java
@@ -78,6 +78,10 @@
   }
 
   void cancel(int number) {
+    if (!answered && call.comes()) {
+      // Guards against a host that is called silent while it waits for the rest of the request itself.
+      return;
+    }
     attempts.get(number).cancel();
   }
 
--- a/src/main/java/corkproxy/http/ClientConnection.java
+++ b/src/main/java/corkproxy/http/ClientConnection.java
@@ -156,7 +156,7 @@
 
   /** The answer has gone: takes up what was sent ahead, on the loop's next turn. */
   private void workOffHeld() {
-    if (front.settings().pipeline() > 1 && !drainsHeld) {
+    if (!drainsHeld && (!held.isEmpty() || decoder.holds() || !channel.config().isAutoRead())) {
       drainsHeld = true;
       channel.eventLoop().execute(this::takeHeld);
     }
--- a/src/main/java/corkproxy/http/Forwarding.java
+++ b/src/main/java/corkproxy/http/Forwarding.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
 import java.net.Inet6Address;
 import java.net.InetAddress;
 import java.util.ArrayList;
@@ -32,18 +33,23 @@
     OFF
   }
 
-  private static final String[] CLAIMS = {
-    "Forwarded",
-    "X-Forwarded-For",
-    "X-Forwarded-Host",
-    "X-Forwarded-Proto",
-    "X-Forwarded-Port",
-    "X-Forwarded-Prefix",
-    "X-Forwarded-Server",
-    "X-Real-IP"
+  private static final AsciiString FORWARDED = AsciiString.cached("forwarded");
+  private static final AsciiString FORWARDED_FOR = AsciiString.cached("x-forwarded-for");
+  private static final AsciiString FORWARDED_HOST = AsciiString.cached("x-forwarded-host");
+  private static final AsciiString FORWARDED_PROTO = AsciiString.cached("x-forwarded-proto");
+
+  private static final AsciiString[] CLAIMS = {
+    FORWARDED,
+    FORWARDED_FOR,
+    FORWARDED_HOST,
+    FORWARDED_PROTO,
+    AsciiString.cached("x-forwarded-port"),
+    AsciiString.cached("x-forwarded-prefix"),
+    AsciiString.cached("x-forwarded-server"),
+    AsciiString.cached("x-real-ip")
   };
 
-  private static final String NAME = "leadferry";
+  private static final String VIA = "1.1 leadferry";
 
   private final Mode mode;
   private final Networks trusted;
@@ -58,7 +64,7 @@
     if (mode == Mode.OFF || !trusted.hold(peer)) {
       return peer;
     }
-    List<String> chain = h.contains("Forwarded") ? forwarded(h) : list(h, "X-Forwarded-For");
+    List<String> chain = h.contains(FORWARDED) ? forwarded(h) : list(h, FORWARDED_FOR);
     InetAddress caller = peer;
     for (int i = chain.size() - 1; i >= 0; i--) {
       InetAddress hop = node(chain.get(i));
@@ -80,7 +86,7 @@
     }
     boolean keep = mode == Mode.APPEND && trusted.hold(peer);
     if (!keep) {
-      for (String name : CLAIMS) {
+      for (AsciiString name : CLAIMS) {
         h.remove(name);
       }
     }
@@ -90,23 +96,26 @@
     String element =
         "for=" + (told instanceof Inet6Address ? "\"[" + address + "]\"" : address)
             + (host.isEmpty() ? "" : ";host=\"" + host + "\"") + ";proto=http";
-    append(h, "Forwarded", element);
-    append(h, "X-Forwarded-For", address);
-    if (!h.contains("X-Forwarded-Host") && !host.isEmpty()) {
-      h.set("X-Forwarded-Host", host);
+    append(h, FORWARDED, element);
+    append(h, FORWARDED_FOR, address);
+    if (!host.isEmpty() && !h.contains(FORWARDED_HOST)) {
+      h.add(FORWARDED_HOST, host);
     }
-    if (!h.contains("X-Forwarded-Proto")) {
-      h.set("X-Forwarded-Proto", "http");
+    if (!h.contains(FORWARDED_PROTO)) {
+      h.add(FORWARDED_PROTO, "http");
     }
-    append(h, "Via", "1.1 " + NAME);
+    append(h, HttpHeaderNames.VIA, VIA);
   }
 
-  private static void append(HttpHeaders h, String name, String value) {
-    List<String> had = h.getAll(name);
-    h.set(name, had.isEmpty() ? value : String.join(", ", had) + ", " + value);
+  private static void append(HttpHeaders h, CharSequence name, String value) {
+    if (h.contains(name)) {
+      h.set(name, String.join(", ", h.getAll(name)) + ", " + value);
+    } else {
+      h.add(name, value);
+    }
   }
 
-  private static List<String> list(HttpHeaders h, String name) {
+  private static List<String> list(HttpHeaders h, CharSequence name) {
     List<String> out = new ArrayList<>();
     for (String line : h.getAll(name)) {
       for (String s : line.split(",")) {
@@ -119,7 +128,7 @@
   /** The {@code for} of each element, an empty text where it has none (RFC 7239, 4). */
   private static List<String> forwarded(HttpHeaders h) {
     List<String> out = new ArrayList<>();
-    for (String line : h.getAll("Forwarded")) {
+    for (String line : h.getAll(FORWARDED)) {
       boolean quoted = false;
       int from = 0;
       String node = "";
--- a/src/main/java/corkproxy/http/HttpCall.java
+++ b/src/main/java/corkproxy/http/HttpCall.java
@@ -22,10 +22,13 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import java.util.List;
 
 /** An HTTP request, kept until its last attempt is over. */
 final class HttpCall implements Call {
+  private static final AsciiString TIMEOUT = AsciiString.cached("X-Timeout-Ms");
+
   private final ClientConnection client;
   private final HttpRequest head;
   private final Body body;
@@ -99,13 +102,18 @@
     return upload == null || upload.replayable();
   }
 
+  @Override
+  public boolean comes() {
+    return upload != null && !upload.whole();
+  }
+
   Upload upload() {
     return upload;
   }
 
   ChannelFuture writeTo(Channel channel, long remainingMs) {
     HttpHeaders h = head.headers();
-    h.set("X-Timeout-Ms", remainingMs);
+    h.set(TIMEOUT, remainingMs);
     if (upload != null) {
       return channel.writeAndFlush(
           new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), h));
--- a/src/main/java/corkproxy/http/RequestDecoder.java
+++ b/src/main/java/corkproxy/http/RequestDecoder.java
@@ -80,6 +80,10 @@
     held = true;
   }
 
+  boolean holds() {
+    return held;
+  }
+
   /** Reads on, beginning with what stands in the buffer. */
   void resume(ChannelHandlerContext ctx) throws Exception {
     if (held) {
--- a/src/main/java/corkproxy/http/Upload.java
+++ b/src/main/java/corkproxy/http/Upload.java
@@ -71,8 +71,13 @@
     }
   }
 
+  boolean whole() {
+    return trailers != null;
+  }
+
+  /** Whether another attempt can be sent all of it now: one at a time takes the body. */
   boolean replayable() {
-    return replayable;
+    return replayable && taker == null;
   }
 
   /** An attempt takes the body, from its first byte on; its head has been written. */
--- a/src/test/java/corkproxy/daemon/StreamingTest.java
+++ b/src/test/java/corkproxy/daemon/StreamingTest.java
@@ -146,6 +146,26 @@
     }
   }
 
+  @Test
+  void aBodyThatTakesLongerThanTheAimIsNotItsHostsSilence() throws Exception {
+    RawHost.Serving serving = (host, in, out, s) -> {
+      host.head(in);
+      in.readNBytes(200_000);
+      RawHost.write(out, OK);
+    };
+    it.start(LISTENER, CLASSES.replace("aim_ms = 20000", "aim_ms = 100"),
+        RawHost.pool("a", "parallel = true", host(serving), host(serving)), LISTS);
+    try (Socket s = client()) {
+      World.write(s, upload("r", "Content-Length: 200000"));
+      for (int i = 0; i < 10; i++) {
+        Thread.sleep(80); // what the test is about: time in which the host has nothing to answer
+        World.write(s, "x".repeat(20_000));
+      }
+      assertThat(World.read(s.getInputStream())).startsWith("HTTP/1.1 200");
+    }
+    assertThat(hosts.stream().mapToInt(h -> h.heads.size()).sum()).isEqualTo(1);
+  }
+
   @Test
   void anUploadThatIsCutHalfWayIsCutAtItsHostAndNotSentAgain() throws Exception {
     RawHost h = host((host, in, out, s) -> { host.head(in); RawHost.chunks(in, new long[1]); RawHost.write(out, OK); });
