--- a/src/test/java/corkproxy/daemon/Installation.java
+++ b/src/test/java/corkproxy/daemon/Installation.java
@@ -22,6 +22,7 @@
   final ByteArrayOutputStream logged = new ByteArrayOutputStream();
   final Path file;
   private final List<HttpStandIn> hosts = new ArrayList<>();
+  final List<RawHost> raw = new ArrayList<>();
   Daemon daemon;
 
   Installation(Path folder) {
@@ -38,6 +39,18 @@
     return h;
   }
 
+  /** A host that answers to the byte what it is told to. */
+  RawHost raw(RawHost.Serving serving) throws IOException {
+    RawHost h = new RawHost(serving);
+    raw.add(h);
+    return h;
+  }
+
+  /** Requests that came to such hosts. */
+  int rawHeads() {
+    return raw.stream().mapToInt(h -> h.heads.size()).sum();
+  }
+
   /** A pool with these members; {@code more} are further lines of its table. */
   static String pool(String name, String more, HttpStandIn... members) {
     StringBuilder s = new StringBuilder("[pool." + name + "]\n" + more + "\n");
@@ -129,5 +142,6 @@
       daemon.close();
     }
     hosts.forEach(HttpStandIn::close);
+    raw.forEach(RawHost::close);
   }
 }
--- a/src/test/java/corkproxy/daemon/RawHost.java
+++ b/src/test/java/corkproxy/daemon/RawHost.java
@@ -141,10 +141,14 @@
   }
 
   @Override
-  public void close() throws IOException {
-    listener.close();
-    for (Socket s : open) {
-      s.close();
+  public void close() {
+    try {
+      listener.close();
+      for (Socket s : open) {
+        s.close();
+      }
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
     }
   }
 }
--- a/src/test/java/corkproxy/daemon/StreamingTest.java
+++ b/src/test/java/corkproxy/daemon/StreamingTest.java
@@ -11,8 +11,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -44,7 +42,6 @@
 
   @TempDir Path folder;
   private Installation it;
-  private final List<RawHost> hosts = new ArrayList<>();
 
   @BeforeEach
   void open() {
@@ -52,17 +49,8 @@
   }
 
   @AfterEach
-  void close() throws Exception {
+  void close() {
     it.close();
-    for (RawHost h : hosts) {
-      h.close();
-    }
-  }
-
-  private RawHost host(RawHost.Serving serving) throws Exception {
-    RawHost h = new RawHost(serving);
-    hosts.add(h);
-    return h;
   }
 
   private Socket client() throws Exception {
@@ -101,7 +89,7 @@
     AtomicLong got = new AtomicLong();
     CountDownLatch reads = new CountDownLatch(1);
     RawHost h =
-        host(
+        it.raw(
             (host, in, out, s) -> {
               while (host.head(in) != null) {
                 reads.await(World.PATIENCE_MS, TimeUnit.MILLISECONDS);
@@ -154,7 +142,7 @@
       RawHost.write(out, OK);
     };
     it.start(LISTENER, CLASSES.replace("aim_ms = 20000", "aim_ms = 100"),
-        RawHost.pool("a", "parallel = true", host(serving), host(serving)), LISTS);
+        RawHost.pool("a", "parallel = true", it.raw(serving), it.raw(serving)), LISTS);
     try (Socket s = client()) {
       World.write(s, upload("r", "Content-Length: 200000"));
       for (int i = 0; i < 10; i++) {
@@ -163,12 +151,12 @@
       }
       assertThat(World.read(s.getInputStream())).startsWith("HTTP/1.1 200");
     }
-    assertThat(hosts.stream().mapToInt(h -> h.heads.size()).sum()).isEqualTo(1);
+    assertThat(it.rawHeads()).isEqualTo(1);
   }
 
   @Test
   void anUploadThatIsCutHalfWayIsCutAtItsHostAndNotSentAgain() throws Exception {
-    RawHost h = host((host, in, out, s) -> { host.head(in); RawHost.chunks(in, new long[1]); RawHost.write(out, OK); });
+    RawHost h = it.raw((host, in, out, s) -> { host.head(in); RawHost.chunks(in, new long[1]); RawHost.write(out, OK); });
     it.start(LISTENER, CLASSES, RawHost.pool("a", "", h), LISTS);
     try (Socket s = client()) {
       World.write(s, upload("r", "Transfer-Encoding: chunked") + "5\r\nhello\r\n");
@@ -186,7 +174,7 @@
   @Test
   void anEarlyErrorIsPassedOnAndEndsTheConnection() throws Exception {
     RawHost h =
-        host(
+        it.raw(
             (host, in, out, s) -> {
               host.head(in);
               RawHost.write(out, "HTTP/1.1 500 No\r\nContent-Length: 4\r\n\r\nfull");
@@ -214,28 +202,28 @@
                 ? "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n" : OK);
           }
         };
-    it.start(LISTENER, CLASSES, RawHost.pool("a", "", host(serving), host(serving)), CLAIMS);
+    it.start(LISTENER, CLASSES, RawHost.pool("a", "", it.raw(serving), it.raw(serving)), CLAIMS);
     try (Socket s = client()) {
       World.write(s, upload("r", "Content-Length: " + length) + "x".repeat(length));
       assertThat(RawHost.until(s.getInputStream(), "\r\n\r\n")).startsWith("HTTP/1.1 " + status);
     }
-    assertThat(hosts.stream().mapToInt(h -> h.heads.size()).sum()).isEqualTo(1 + other);
+    assertThat(it.rawHeads()).isEqualTo(1 + other);
   }
 
   @Test
   void anUploadThatMayHaveRunIsNotSentAgain() throws Exception {
     RawHost.Serving serving = (host, in, out, s) -> { host.head(in); in.read(); s.setSoLinger(true, 0); };
-    it.start(LISTENER, CLASSES, RawHost.pool("a", "", host(serving), host(serving)), CLAIMS);
+    it.start(LISTENER, CLASSES, RawHost.pool("a", "", it.raw(serving), it.raw(serving)), CLAIMS);
     try (Socket s = client()) {
       World.write(s, upload("r", "Content-Length: 100") + "x".repeat(50));
       assertThat(World.read(s.getInputStream())).startsWith("HTTP/1.1 502");
     }
-    assertThat(hosts.stream().mapToInt(h -> h.heads.size()).sum()).isEqualTo(1);
+    assertThat(it.rawHeads()).isEqualTo(1);
   }
 
   @Test
   void aBodyThatStopsComingIsGivenUp() throws Exception {
-    RawHost h = host((host, in, out, s) -> { host.head(in); RawHost.chunks(in, new long[1]); });
+    RawHost h = it.raw((host, in, out, s) -> { host.head(in); RawHost.chunks(in, new long[1]); });
     it.start(LISTENER + "slow_ms = 200", CLASSES, RawHost.pool("a", "", h), CLAIMS);
     try (Socket s = client()) {
       World.write(s, upload("r", "Content-Length: 100") + "x".repeat(50));
@@ -248,7 +236,7 @@
   // --- answers
 
   private RawHost longAnswers(AtomicLong sent, long upTo) throws Exception {
-    return host(
+    return it.raw(
         (host, in, out, s) -> {
           while (host.head(in) != null) {
             RawHost.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -282,7 +270,7 @@
       World.write(s, request("GET", "/x", "again"));
       assertThat(RawHost.until(in, "\r\n\r\n")).startsWith("HTTP/1.1 200");
     }
-    World.await(() -> hosts.get(0).ended.get() == 1); // a client that leaves in the middle takes its attempt with it
+    World.await(() -> it.raw.get(0).ended.get() == 1); // a client that leaves in the middle takes its attempt with it
   }
 
   @Test
@@ -298,13 +286,13 @@
       org.assertj.core.api.Assertions.assertThatThrownBy(() -> RawHost.chunks(in, got))
           .isInstanceOf(java.io.IOException.class);
     }
-    assertThat(hosts.stream().mapToInt(h -> h.heads.size()).sum()).isEqualTo(1); // it has begun: no other may answer
+    assertThat(it.rawHeads()).isEqualTo(1); // it has begun: no other may answer
   }
 
   @Test
   void aStreamWhoseTimeIsUpIsCut() throws Exception {
     RawHost h =
-        host((host, in, out, s) -> {
+        it.raw((host, in, out, s) -> {
           host.head(in);
           RawHost.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nbegins");
           in.read();
@@ -322,7 +310,7 @@
   void aDrainWaitsForAnOpenStream() throws Exception {
     CountDownLatch go = new CountDownLatch(1);
     RawHost h =
-        host((host, in, out, s) -> {
+        it.raw((host, in, out, s) -> {
           host.head(in);
           RawHost.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n");
           go.await(World.PATIENCE_MS, TimeUnit.MILLISECONDS);
@@ -345,7 +333,7 @@
   @Test
   void toHttp10AnAnswerWithoutALengthIsGivenOne() throws Exception {
     RawHost h =
-        host((host, in, out, s) -> {
+        it.raw((host, in, out, s) -> {
           host.head(in);
           RawHost.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n");
         });
--- a/src/test/java/corkproxy/daemon/TransparencyTest.java
+++ b/src/test/java/corkproxy/daemon/TransparencyTest.java
@@ -12,7 +12,6 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -29,7 +28,6 @@
 
   @TempDir Path folder;
   private Installation it;
-  private final List<RawHost> hosts = new ArrayList<>();
 
   @BeforeEach
   void open() {
@@ -37,24 +35,18 @@
   }
 
   @AfterEach
-  void close() throws Exception {
+  void close() {
     it.close();
-    for (RawHost h : hosts) {
-      h.close();
-    }
   }
 
   /** A host that gives every request, without a body, this answer. */
   private RawHost host(String answer) throws Exception {
-    RawHost h =
-        new RawHost(
-            (host, in, out, s) -> {
-              while (host.head(in) != null) {
-                RawHost.write(out, answer);
-              }
-            });
-    hosts.add(h);
-    return h;
+    return it.raw(
+        (host, in, out, s) -> {
+          while (host.head(in) != null) {
+            RawHost.write(out, answer);
+          }
+        });
   }
 
   // --- errors of hosts
@@ -68,14 +60,14 @@
     it.start(LISTENER, CLASSES, RawHost.pool("a", "", h, host(ERROR)), CLAIMS);
     assertThat(it.ask(request("POST", "/claim", "r")))
         .startsWith("HTTP/1.1 500 ").contains("X-Trace: t7").endsWith("{\"error\":\"full\"}");
-    assertThat(hosts.stream().mapToInt(x -> x.heads.size()).sum()).isEqualTo(1);
+    assertThat(it.rawHeads()).isEqualTo(1);
   }
 
   @Test
   void theLastErrorOfASafeRequestIsPassedOnWhenItsAttemptsAreUsedUp() throws Exception {
     it.start(LISTENER, CLASSES, RawHost.pool("a", "max_attempts = 2", host(ERROR), host(ERROR)), LISTS);
     assertThat(it.ask(request("GET", "/x", "r"))).startsWith("HTTP/1.1 500 ").endsWith("{\"error\":\"full\"}");
-    assertThat(hosts.stream().mapToInt(x -> x.heads.size()).sum()).isEqualTo(2);
+    assertThat(it.rawHeads()).isEqualTo(2);
   }
 
   @Test
@@ -93,13 +85,13 @@
 
   @Test
   void anErrorWhoseBodyBreaksOffIsNotPassedOn() throws Exception {
-    hosts.add(
-        new RawHost(
+    RawHost h =
+        it.raw(
             (host, in, out, s) -> {
               host.head(in);
               RawHost.write(out, ERROR.substring(0, ERROR.length() - 3));
-            }));
-    it.start(LISTENER, CLASSES, RawHost.pool("a", "", hosts.get(0)), CLAIMS);
+            });
+    it.start(LISTENER, CLASSES, RawHost.pool("a", "", h), CLAIMS);
     assertThat(it.ask(request("POST", "/claim", "r"))).startsWith("HTTP/1.1 502 ").doesNotContain("X-Trace");
   }
 
@@ -215,14 +207,13 @@
   void trailersGoBothWays() throws Exception {
     List<String> trailers = new java.util.concurrent.CopyOnWriteArrayList<>();
     RawHost h =
-        new RawHost(
+        it.raw(
             (host, in, out, s) -> {
               while (host.head(in) != null) {
                 trailers.add(RawHost.chunks(in, new long[1]));
                 RawHost.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 7\r\nContent-Length: 9\r\n\r\n");
               }
             });
-    hosts.add(h);
     it.start(LISTENER, CLASSES, RawHost.pool("a", "", h), CLAIMS);
     String head = request("POST", "/x", "r", "TE: trailers", "Connection: TE").replace("Content-Length: 0", "Transfer-Encoding: chunked");
     try (Socket s = it.client()) {
