Leave it to the module whether a client that goes calls its attempts off

With streaming, the engine itself ended every attempt of a client that had gone; the module does so only where the deployment allows it. Change: only attempts of requests that are answered already end so.

--- a/src/main/java/corkproxy/engine/Exchange.java
+++ b/src/main/java/corkproxy/engine/Exchange.java
@@ -144,11 +144,14 @@
     if (answered && open == 0) {
       return;
     }
+    boolean began = answered;
     answered = true;
     dispatcher.clientGone(this);
-    for (int i = 0; i < attempts.size(); i++) {
+    // What is out without an answer is the module's to call off, where the deployment lets it. One whose
+    // answer streams, or whose request has failed on its client's side, has nobody to go to.
+    for (int i = 0; began && i < attempts.size(); i++) {
       if (attempts.get(i).open()) {
-        attempts.get(i).cancel(); // one whose answer streams has nobody to go to
+        attempts.get(i).cancel();
       }
     }
     forgetIfDone();
