Gather the file's judged headers once a version, not once a gate on each loop

Cause: reading the whole change once more. Each worker's loop went over every route for each listener at a reload to collect the names; Version does it once. The bound on open requests stood twice in ClientConnection, which also kept a context that its pipeline knows.

--- a/src/main/java/corkproxy/daemon/DaemonGate.java
+++ b/src/main/java/corkproxy/daemon/DaemonGate.java
@@ -20,7 +20,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -49,7 +48,7 @@
     this.worker = worker;
     this.version = version;
     this.listener = listener;
-    this.judged = judged(version.config, listener);
+    this.judged = version.judged.get(listener.name());
     this.routes = version.routes.get(listener.name());
   }
 
@@ -91,20 +90,6 @@
     return judged;
   }
 
-  /** What decides or changes anything on its way through: the file's own headers. */
-  private static Set<String> judged(DaemonConfig config, DaemonConfig.Listener listener) {
-    Set<String> names = new HashSet<>();
-    names.add(listener.classHeader().toLowerCase(Locale.ROOT));
-    names.add(listener.tenantHeader().toLowerCase(Locale.ROOT));
-    for (DaemonConfig.Route r : config.routes()) {
-      names.add(r.splitHeader().toLowerCase(Locale.ROOT));
-      names.addAll(r.match().headers().keySet());
-      r.setHeaders().keySet().forEach(n -> names.add(n.toLowerCase(Locale.ROOT)));
-      r.removeHeaders().forEach(n -> names.add(n.toLowerCase(Locale.ROOT)));
-    }
-    return Set.copyOf(names);
-  }
-
   @Override
   public boolean ready() {
     return !worker.draining();
--- a/src/main/java/corkproxy/daemon/Version.java
+++ b/src/main/java/corkproxy/daemon/Version.java
@@ -11,8 +11,11 @@
 import corkproxy.routing.Split;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
@@ -46,6 +49,8 @@
   final RetryBudget retries;
   final Map<String, Pool> pools = new HashMap<>();
   final Map<String, RouteTable<Target>> routes = new HashMap<>();
+  /** By listener, in lower case: the headers that the file has requests judged by, or sets. */
+  final Map<String, Set<String>> judged = new HashMap<>();
   final Map<String, Settings.RequestClass> classes = new HashMap<>();
 
   /** {@code before} is the version that this one follows, or null; {@code unixMs} the time. */
@@ -77,6 +82,13 @@
                       .map(s -> new Split.Part<>(s.pool(), s.weight(), s.pool()))
                       .toList())));
     }
+    Set<String> byRoutes = judgedByRoutes(config);
+    for (DaemonConfig.Listener l : config.listeners().values()) {
+      Set<String> names = new HashSet<>(byRoutes);
+      names.add(l.classHeader().toLowerCase(Locale.ROOT));
+      names.add(l.tenantHeader().toLowerCase(Locale.ROOT));
+      judged.put(l.name(), Set.copyOf(names));
+    }
     for (String listener : config.listeners().keySet()) {
       List<Rule<Target>> rules = new ArrayList<>();
       for (Target t : targets) {
@@ -92,6 +104,17 @@
     }
   }
 
+  private static Set<String> judgedByRoutes(DaemonConfig config) {
+    Set<String> names = new HashSet<>();
+    for (DaemonConfig.Route r : config.routes()) {
+      names.add(r.splitHeader().toLowerCase(Locale.ROOT));
+      names.addAll(r.match().headers().keySet());
+      r.setHeaders().keySet().forEach(n -> names.add(n.toLowerCase(Locale.ROOT)));
+      r.removeHeaders().forEach(n -> names.add(n.toLowerCase(Locale.ROOT)));
+    }
+    return names;
+  }
+
   /**
    * The pool's hosts with the times at which they started. Guards rule 4: a server that a new file
    * names for the first time may be cold, so it is taken to have started now; one that stays keeps
--- a/src/main/java/corkproxy/http/ClientConnection.java
+++ b/src/main/java/corkproxy/http/ClientConnection.java
@@ -56,7 +56,6 @@
   private final long openedAt = System.nanoTime();
   private final long slowNanos;
   private final ArrayDeque<Held> held = new ArrayDeque<>(0);
-  private ChannelHandlerContext context;
   private HttpRequest head;
   private Verdict verdict;
   private Body body;
@@ -82,11 +81,6 @@
     this.slowNanos = front.settings().slowMs() * 1_000_000L;
   }
 
-  @Override
-  public void handlerAdded(ChannelHandlerContext ctx) {
-    context = ctx;
-  }
-
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
     front.opened(this);
@@ -124,9 +118,7 @@
     try {
       if (rejected || over) {
         discard(msg);
-      } else if (upload != null) {
-        take((HttpObject) msg, System.nanoTime());
-      } else if (call == null && held.isEmpty()) {
+      } else if (upload != null || call == null && held.isEmpty()) {
         take((HttpObject) msg, System.nanoTime());
       } else if (front.settings().pipeline() > 1) {
         hold((HttpObject) msg);
@@ -180,7 +172,7 @@
         try {
           decoder.resume(channel.pipeline().context(decoder));
         } catch (Exception e) {
-          exceptionCaught(context, e);
+          exceptionCaught(channel.pipeline().context(this), e);
         }
       }
       if (call == null && held.isEmpty() && !paused) {
@@ -261,8 +253,7 @@
   private void stream() {
     spoken = true;
     Dispatcher d = verdict.target();
-    if (d.open() >= front.settings().maxOpen()) {
-      front.refusedForSockets();
+    if (full(d)) {
       closing = true;
       answer(503, 0);
       return;
@@ -273,6 +264,15 @@
     d.take(call, verdict.arrival(), verdict.fallback());
   }
 
+  /** Whether the pool has as many requests open as it may; one more is refused. */
+  private boolean full(Dispatcher pool) {
+    if (pool.open() < front.settings().maxOpen()) {
+      return false;
+    }
+    front.refusedForSockets();
+    return true;
+  }
+
   /** Reads on, or no longer: what an upload goes to, or the room that it has, tells. */
   void reading(boolean on) {
     if (!paused && channel.config().isAutoRead() != on) {
@@ -361,8 +361,7 @@
       openId = id;
     }
     Dispatcher d = verdict.target();
-    if (d.open() >= front.settings().maxOpen()) {
-      front.refusedForSockets();
+    if (full(d)) {
       free(whole);
       answer(503, 0);
       return;
