Log refusals and failures by field; take ClientConnection and OperatorFile apart

Need: the daemon's log was lines of words, of which a program could make nothing; it told a refusal only where the request itself was faulty, and a failed attempt never.

Change: records with named fields through SLF4J and Logback, as text or JSON. Requests and all else have budgets of their own, so that a storm of refusals hides no ejection; a reader that stops holds nobody up. The platform's process keeps its lines and tells netty to log through the JDK.

Result: DaemonLogTest (a storm of 20,000 loses no count, a stuck reader holds up no loop, odd values stay one line); CommandsTest sees no class of SLF4J or Logback in the platform's process. Found: Logback's appender of a stream closes standard error when its context is set anew, and a context of one's own has no MDC adapter.

--- a/src/main/java/corkproxy/cli/DaemonCommand.java
+++ b/src/main/java/corkproxy/cli/DaemonCommand.java
@@ -1,8 +1,8 @@
 package corkproxy.cli;
 
 import corkproxy.daemon.Daemon;
+import corkproxy.daemon.DaemonLog;
 import corkproxy.daemon.FaultyFileException;
-import corkproxy.engine.Log;
 import corkproxy.engine.Signals;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
@@ -22,12 +22,13 @@
   @Option(names = "--config", required = true, paramLabel = "FILE", description = "The operator's file.")
   private Path file;
 
+  private DaemonLog log;
+
   @Override
   public Integer call() throws InterruptedException {
-    Log log = new Log(System.err);
     Daemon daemon;
     try {
-      daemon = new Daemon(file, log);
+      daemon = new Daemon(file, form -> log = DaemonLog.onStandardError(form));
     } catch (FaultyFileException e) {
       System.err.println(e.getMessage());
       return 2;
@@ -45,6 +46,7 @@
                   } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                   }
+                  log.close();
                   // An exit by SIGTERM is status 143 to the JVM, and a drain that is done is a success.
                   Runtime.getRuntime().halt(0);
                 },
--- a/src/main/java/corkproxy/cli/DemoCommand.java
+++ b/src/main/java/corkproxy/cli/DemoCommand.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import corkproxy.daemon.Daemon;
 import corkproxy.daemon.FaultyFileException;
-import corkproxy.engine.Log;
+import corkproxy.engine.LineLog;
 import corkproxy.standin.HttpStandIn;
 import corkproxy.standin.Ledger;
 import corkproxy.standin.LoadGenerator;
@@ -76,7 +76,7 @@
     }
     try {
       Files.writeString(file, config(List.of(), 3));
-      try (Daemon daemon = new Daemon(file, new Log(json ? quiet : System.err));
+      try (Daemon daemon = new Daemon(file, form -> new LineLog(json ? quiet : System.err, false));
           LoadGenerator load =
               new LoadGenerator(
                   new LoadGenerator.Plan(
--- a/src/main/java/corkproxy/daemon/Daemon.java
+++ b/src/main/java/corkproxy/daemon/Daemon.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /**
  * The daemon from its start to its drain. Workers share nothing but limits and budgets; one loop
@@ -63,17 +64,18 @@
   private record Bound(InetSocketAddress asked, Channel channel) {}
 
   /**
-   * Starts a daemon by this file.
+   * Starts a daemon by this file; {@code logs} gives it the log of the form that the file asks for.
    *
    * @throws FaultyFileException if the file is faulty, or a listener's address can't be had
    */
-  public Daemon(Path file, Log log) throws FaultyFileException {
-    this(file, OperatorFile.read(file), log, System.nanoTime());
+  public Daemon(Path file, Function<LogForm, Log> logs) throws FaultyFileException {
+    this(file, OperatorFile.read(file), logs, System.nanoTime());
   }
 
-  Daemon(Path file, DaemonConfig config, Log log, long seed) throws FaultyFileException {
+  private Daemon(Path file, DaemonConfig config, Function<LogForm, Log> logs, long seed)
+      throws FaultyFileException {
     this.file = file;
-    this.log = log;
+    this.log = logs.apply(config.process().log());
     this.transport = transport(config.process().transport(), log);
     this.acceptor =
         new MultiThreadIoEventLoopGroup(
@@ -131,15 +133,18 @@
       if (is.workers() != was.workers()
           || is.descriptors() != was.descriptors()
           || is.bodyMemoryMb() != was.bodyMemoryMb()
-          || is.transport() != was.transport()) {
-        log.line("workers, descriptors, body_memory_mb and transport change with a restart only");
+          || is.transport() != was.transport()
+          || is.log() != was.log()) {
+        log.line("workers, descriptors, body_memory_mb, transport and log change with a restart only");
       }
       apply(next);
-      log.line("version " + version.number + " in force");
+      log.event("version " + version.number + " in force", "version", version.number);
       return true;
     } catch (FaultyFileException e) {
       for (Fault f : e.faults()) {
-        log.line("not taken: " + f);
+        log.event(
+            "not taken: " + f, "file", f.file(), "line", f.line(), "key", f.key(), "found", f.found(),
+            "expected", f.expected());
       }
       return false;
     }
--- a/src/main/java/corkproxy/daemon/DaemonConfig.java
+++ b/src/main/java/corkproxy/daemon/DaemonConfig.java
@@ -33,7 +33,8 @@
       int instances,
       double retryRatio,
       double retryBurst,
-      Sockets transport) {}
+      Sockets transport,
+      LogForm log) {}
 
   /** The kind of sockets: the best that is there, or a certain one. */
   enum Sockets {
--- a/src/main/java/corkproxy/daemon/DaemonGate.java
+++ b/src/main/java/corkproxy/daemon/DaemonGate.java
@@ -36,6 +36,7 @@
   private static final int MAX_HOST = 255;
 
   private static final String SCHEME = "http://";
+  private static final Verdict.Origin NO_ROUTE = new Verdict.Origin(null, null, null);
 
   private final Worker worker;
   private final Version version;
@@ -121,7 +122,7 @@
     view.className = claimed != null && version.classes.containsKey(claimed) ? claimed : null;
     Rule<Version.Target> rule = routes.find(view);
     if (rule == null) {
-      return Verdict.answer(404, 0);
+      return Verdict.answer(404, 0, NO_ROUTE);
     }
     return route(head, client, path, query < 0 ? "" : uri.substring(query), rule);
   }
@@ -163,21 +164,22 @@
             ? route.className()
             : view.className != null ? view.className : DaemonConfig.DEFAULT_CLASS;
     Settings.RequestClass type = version.classes.get(name);
+    Verdict.Origin origin = rule.target().origins().get(name);
     String key = Framing.single(h, "Idempotency-Key");
     if (type.semantics() == Settings.Semantics.DEDUPLICATED && (key == null || key.isBlank())) {
-      return Verdict.answer(400, 0); // nothing tells its repeats apart
+      return Verdict.answer(400, 0, origin); // nothing tells its repeats apart
     }
     double timeout = type.deadline();
     if (h.contains("X-Timeout-Ms")) {
       timeout = Math.min(timeout, Framing.whole(Framing.single(h, "X-Timeout-Ms")));
     }
     if (!(timeout >= 1)) {
-      return Verdict.answer(400, 0);
+      return Verdict.answer(400, 0, origin);
     }
     if (doubled(h, listener.classHeader())
         || doubled(h, listener.tenantHeader())
         || doubled(h, route.splitHeader())) {
-      return Verdict.answer(400, 0); // a host may go by the other one
+      return Verdict.answer(400, 0, origin); // a host may go by the other one
     }
     String tenant = h.get(listener.tenantHeader(), "");
     InetAddress caller =
@@ -187,7 +189,8 @@
         version.limiter.acquire(
             new Caller(listener.name(), route.name(), tenant, name, address), System.nanoTime());
     if (grant.refusedBy() != null) {
-      return Verdict.answer(429, grant.retryAfterMs());
+      return Verdict.answer(
+          429, grant.retryAfterMs(), new Verdict.Origin(route.name(), name, grant.refusedBy()));
     }
     String pool = rule.target().split().pick(splitKey(route, h, tenant, address));
     boolean safe = type.semantics() == Settings.Semantics.IDEMPOTENT;
@@ -195,7 +198,7 @@
     Dispatcher target = take(pool);
     if (target == null) {
       grant.release();
-      return Verdict.answer(503, 0);
+      return Verdict.answer(503, 0, origin);
     }
     if (caller != null) {
       listener.forwarding().tell(h, client.getAddress(), caller);
@@ -206,6 +209,7 @@
         arrival,
         fallback(route.fallback(), 0, pool, arrival, safe),
         route.stream() ? Streaming.ALWAYS : Streaming.NEVER,
+        origin,
         grant::release);
   }
 
--- /dev/null
+++ b/src/main/java/corkproxy/daemon/PoolReader.java
@@ -0,0 +1,119 @@
+package corkproxy.daemon;
+
+import corkproxy.balancer.HostEntry;
+import corkproxy.balancer.Settings;
+import corkproxy.engine.Hosts;
+import corkproxy.routing.Split;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Reads and judges {@code [pool.NAME]} and its members. */
+final class PoolReader {
+  private final Section root;
+  private final Names names;
+
+  PoolReader(Section root, Names names) {
+    this.root = root;
+    this.names = names;
+  }
+
+  private enum State {
+    UP,
+    DRAINING
+  }
+
+  /** The pools by name, in the order of the file. */
+  Map<String, DaemonConfig.Pool> read(
+      List<Settings.RequestClass> classes, DaemonConfig.Process process) {
+    Map<String, DaemonConfig.Pool> out = new LinkedHashMap<>();
+    for (Map.Entry<String, Section> e : root.named("pool").entrySet()) {
+      Section s = e.getValue();
+      Names.take(s, e.getKey(), names.pools);
+      Section cold = s.table("cold");
+      Section retries = s.table("retries");
+      String zone = s.text("zone", "-", "the zone to prefer");
+      Settings settings =
+          new Settings(
+              classes,
+              List.of(),
+              new Settings.Limits(
+                  true, true, s.flag("parallel", false), s.integer("max_attempts", 3, 1, 20), 0, 1),
+              new Settings.Rules(
+                  cold.number("for_ms", 0, 0, 3_600_000),
+                  cold.number("start_capacity", 0.3, 0.01, 1),
+                  cold.number("fall_ms", 1_500, 1, 600_000),
+                  cold.number("fall_multiple", 3, 1, 100),
+                  0),
+              false,
+              zone.equals("-") ? null : zone,
+              process.instance() * process.workers(),
+              process.instances() * process.workers(),
+              1,
+              false);
+      cold.end();
+      out.put(
+          e.getKey(),
+          new DaemonConfig.Pool(
+              e.getKey(),
+              members(s),
+              settings,
+              s.integer("max_answer_bytes", 1 << 20, 0, 256 << 20),
+              s.flag("pass_errors", true),
+              s.number("idle_ms", 15_000, 100, 3_600_000),
+              s.number("connect_timeout_ms", 250, 1, 60_000),
+              s.integer("max_connections", 1_024, 1, 1_000_000),
+              s.integer("max_pending", 1_024, 0, 1_000_000),
+              s.integer("max_requests_per_connection", Integer.MAX_VALUE, 1, Integer.MAX_VALUE),
+              s.number("rest_ms", 0, 0, 1_000),
+              retries.number("ratio", 0.2, 0, 10),
+              retries.number("burst", 20, 0, 1e6)));
+      retries.end();
+      s.end();
+    }
+    if (out.isEmpty()) {
+      root.fault("pool", "none", "at least one [pool.NAME]");
+    }
+    return out;
+  }
+
+  private static List<Hosts.Member> members(Section pool) {
+    List<Hosts.Member> out = new ArrayList<>();
+    Set<String> ids = new HashSet<>();
+    Map<InetSocketAddress, String> taken = new HashMap<>();
+    for (Section s : pool.list("member")) {
+      String id = s.text("id", null, "the server's id");
+      if (!id.isEmpty() && !ids.add(id)) {
+        s.fault("id", "'" + id + "' a second time", "an id of its own");
+      }
+      InetSocketAddress at = Names.address(s, "address", false);
+      String other = at == null ? null : taken.putIfAbsent(at, id);
+      if (other != null) {
+        s.fault("address", "the address of '" + other + "'", "an address of its own");
+      }
+      double weight = s.number("weight", 1, 0, 1e6);
+      State state = s.word("state", State.UP, State.class);
+      String pod = s.text("pod", "-", "the pod's name");
+      out.add(
+          new Hosts.Member(
+              id,
+              at,
+              s.text("zone", "-", "the zone's name"),
+              s.text("kind", "-", "the kind of machine"),
+              // A server of no pod shares the memory of its keys with no other.
+              Split.hash(pod.equals("-") ? "server " + id : "pod " + pod),
+              state == State.UP && weight > 0
+                  ? HostEntry.Condition.READY
+                  : HostEntry.Condition.TERMINATING,
+              weight,
+              0));
+      s.end();
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/daemon/RouteReader.java
@@ -0,0 +1,209 @@
+package corkproxy.daemon;
+
+import com.google.re2j.Pattern;
+import com.google.re2j.PatternSyntaxException;
+import corkproxy.http.Headers;
+import corkproxy.routing.PathForm;
+import corkproxy.routing.RouteCheck;
+import corkproxy.routing.Rule;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** Reads and judges {@code [[route]]}: each by itself, against what the file names, and against the others. */
+final class RouteReader {
+  private final Section root;
+  private final Names names;
+
+  RouteReader(Section root, Names names) {
+    this.root = root;
+    this.names = names;
+  }
+
+  /** The routes in the order of the file, none of them out of reach of all requests. */
+  List<DaemonConfig.Route> read() {
+    List<DaemonConfig.Route> out = new ArrayList<>();
+    List<Section> sections = root.list("route");
+    for (Section s : sections) {
+      out.add(route(s, out.size()));
+      s.end();
+    }
+    for (String listener : names.listeners) {
+      List<Rule<Integer>> rules = new ArrayList<>();
+      for (DaemonConfig.Route r : out) {
+        if (r.listeners().isEmpty() || r.listeners().contains(listener)) {
+          rules.add(r.match());
+        }
+      }
+      for (RouteCheck.Shadowed shadowed : RouteCheck.shadowed(rules)) {
+        Rule<Integer> r = rules.get(shadowed.route());
+        sections
+            .get(r.target())
+            .fault(
+                "",
+                "can't be reached at listener '" + listener + "': route '"
+                    + rules.get(shadowed.by()).name() + "' always wins",
+                "a route that some request can take");
+      }
+    }
+    return out;
+  }
+
+  private DaemonConfig.Route route(Section s, int index) {
+    String name = s.text("name", null, "the route's name");
+    if (!name.isEmpty()) {
+      Names.take(s, name, names.routes);
+    }
+    Set<String> at = s.names("listeners", names.listeners, "listener");
+    String pool = s.text("pool", "", "the name of a pool");
+    List<DaemonConfig.Share> split = split(s, pool);
+    List<String> fallback = new ArrayList<>(s.names("fallback", names.pools, "pool"));
+    String className = s.text("class", "", "the name of a class");
+    if (!className.isEmpty()) {
+      s.known("class", className, names.classes, "class");
+    }
+    String by = s.text("split_by", "key", "key, tenant, address or header:NAME");
+    DaemonConfig.SplitBy splitBy = DaemonConfig.SplitBy.KEY;
+    String splitHeader = "X-Route-Key";
+    if (by.startsWith("header:") && by.substring(7).matches(Names.TOKEN)) {
+      splitHeader = by.substring(7);
+    } else if (by.equals("tenant") || by.equals("address")) {
+      splitBy = DaemonConfig.SplitBy.valueOf(by.toUpperCase(Locale.ROOT));
+    } else if (!by.equals("key")) {
+      s.fault("split_by", "'" + by + "'", "key, tenant, address or header:NAME");
+    }
+    Rule<Integer> match = match(s, name, index);
+    String rewrite = s.text("rewrite_prefix", "", "a path that begins with /");
+    if (!rewrite.isEmpty()) {
+      PathForm form = PathForm.of(PathForm.encode(PathForm.ofPattern(rewrite)), PathForm.Mode.STRICT);
+      if (form == null) {
+        s.fault("rewrite_prefix", "'" + rewrite + "'", "a plain path that begins with /");
+      } else if (match.kind() != Rule.Kind.PREFIX) {
+        s.fault("rewrite_prefix", "set", "only where the route has a prefix");
+      }
+    }
+    Map<String, String> set = s.map("set_headers");
+    set.forEach(
+        (k, v) -> {
+          header(s, "set_headers." + k, k);
+          if (!v.chars().allMatch(c -> c >= ' ' && c < 0x7f)) {
+            s.fault("set_headers." + k, "'" + v + "'", "printable ASCII");
+          }
+        });
+    List<String> remove = s.texts("remove_headers");
+    for (int i = 0; i < remove.size(); i++) {
+      header(s, "remove_headers[" + i + "]", remove.get(i));
+    }
+    return new DaemonConfig.Route(
+        name, List.copyOf(at), match, className, split, splitBy, splitHeader, fallback,
+        s.flag("stream", false), rewrite,
+        Map.copyOf(set), List.copyOf(remove));
+  }
+
+  private static void header(Section s, String key, String name) {
+    if (!name.matches(Names.TOKEN) || Headers.FRAMING.contains(name.toLowerCase(Locale.ROOT))) {
+      s.fault(key, "'" + name + "'", "a header that does not frame the message");
+    }
+  }
+
+  private List<DaemonConfig.Share> split(Section s, String pool) {
+    List<DaemonConfig.Share> out = new ArrayList<>();
+    List<Section> parts = s.list("split");
+    if (pool.isEmpty() == parts.isEmpty()) {
+      s.fault("pool", pool.isEmpty() ? "missing" : "set beside split", "either pool or split");
+    }
+    if (!pool.isEmpty()) {
+      s.known("pool", pool, names.pools, "pool");
+      out.add(new DaemonConfig.Share(pool, 1));
+    }
+    double sum = 0;
+    Set<String> named = new HashSet<>();
+    for (Section p : parts) {
+      String name = p.text("pool", null, "the name of a pool");
+      if (!name.isEmpty()) {
+        p.known("pool", name, names.pools, "pool");
+        if (!named.add(name)) {
+          p.fault("pool", "'" + name + "' a second time", "each pool once");
+        }
+      }
+      double weight = p.number("weight", 1, 0, 1e6);
+      sum += weight;
+      out.add(new DaemonConfig.Share(name, weight));
+      p.end();
+    }
+    if (!parts.isEmpty() && sum <= 0) {
+      s.fault("split", "all weights zero", "a weight above 0");
+    }
+    return out;
+  }
+
+  private Rule<Integer> match(Section s, String name, int index) {
+    List<String> hosts = s.texts("hosts");
+    for (int i = 0; i < hosts.size(); i++) {
+      String h = hosts.get(i).toLowerCase(Locale.ROOT);
+      String plain = h.startsWith("*.") ? h.substring(2) : h.endsWith(".*") ? h.substring(0, h.length() - 2) : h;
+      if (!h.equals("*") && !plain.matches("[a-z0-9_-]+(\\.[a-z0-9_-]+)*|\\[[0-9a-f:.]+\\]")) {
+        s.fault("hosts[" + i + "]", "'" + hosts.get(i) + "'", "a name, *.name, name.* or *");
+      }
+      hosts.set(i, h);
+    }
+    Rule.Kind kind = Rule.Kind.PREFIX;
+    String path = "/";
+    int given = 0;
+    for (Rule.Kind k : Rule.Kind.values()) {
+      String key = k == Rule.Kind.EXACT ? "path" : k.name().toLowerCase(Locale.ROOT);
+      String text = s.text(key, "", k == Rule.Kind.REGEX ? "a regular expression" : "a path");
+      if (text.isEmpty()) {
+        continue;
+      }
+      given++;
+      kind = k;
+      path = k == Rule.Kind.REGEX ? text : PathForm.ofPattern(text);
+      if (k == Rule.Kind.REGEX) {
+        try {
+          Pattern.compile(text);
+        } catch (PatternSyntaxException e) {
+          s.fault(key, e.getMessage(), "a regular expression in RE2 syntax");
+          path = "/";
+          kind = Rule.Kind.PREFIX;
+        }
+      } else if (!text.startsWith("/")
+          || PathForm.of(PathForm.encode(path), PathForm.Mode.STRICT) == null) {
+        s.fault(key, "'" + text + "'", "a decoded path that begins with /, without . or .. or //");
+      }
+    }
+    if (given != 1) {
+      s.fault("", given == 0 ? "no path" : "more than one of path, prefix, regex",
+          "one of path, prefix, regex");
+    }
+    List<String> methods = s.texts("methods");
+    for (int i = 0; i < methods.size(); i++) {
+      if (!methods.get(i).matches("[A-Z][A-Z-]*") || methods.get(i).equals("CONNECT")) {
+        s.fault("methods[" + i + "]", "'" + methods.get(i) + "'", "a method in capitals, not CONNECT");
+      }
+    }
+    Map<String, String> headers = new LinkedHashMap<>();
+    s.map("headers")
+        .forEach(
+            (k, v) -> {
+              if (!k.matches(Names.TOKEN)) {
+                s.fault("headers." + k, "'" + k + "'", "the name of a header");
+              }
+              headers.put(k.toLowerCase(Locale.ROOT), v);
+            });
+    return new Rule<>(
+        name,
+        hosts.isEmpty() ? List.of("*") : hosts,
+        kind,
+        path,
+        new LinkedHashSet<>(methods),
+        headers,
+        s.names("classes", names.classes, "class"),
+        index);
+  }
+}
--- a/src/main/java/corkproxy/daemon/Version.java
+++ b/src/main/java/corkproxy/daemon/Version.java
@@ -4,6 +4,7 @@
 import corkproxy.engine.ConnectionLimits;
 import corkproxy.engine.Hosts;
 import corkproxy.engine.PoolBounds;
+import corkproxy.http.Verdict;
 import corkproxy.limits.Limiter;
 import corkproxy.limits.RetryBudget;
 import corkproxy.routing.RouteTable;
@@ -24,7 +25,8 @@
  */
 final class Version {
   /** A route as requests take it. */
-  record Target(DaemonConfig.Route route, Split<String> split) {}
+  record Target(
+      DaemonConfig.Route route, Split<String> split, Map<String, Verdict.Origin> origins) {}
 
   /** A pool with its hosts as they are told to the modules. */
   record Pool(
@@ -80,7 +82,9 @@
               new Split<>(
                   r.split().stream()
                       .map(s -> new Split.Part<>(s.pool(), s.weight(), s.pool()))
-                      .toList())));
+                      .toList()),
+              classes.keySet().stream()
+                  .collect(Collectors.toMap(c -> c, c -> new Verdict.Origin(r.name(), c, null)))));
     }
     Set<String> byRoutes = judgedByRoutes(config);
     for (DaemonConfig.Listener l : config.listeners().values()) {
--- a/src/main/java/corkproxy/daemon/Worker.java
+++ b/src/main/java/corkproxy/daemon/Worker.java
@@ -117,7 +117,7 @@
       DaemonGate gate = new DaemonGate(this, v, l);
       Front front = fronts.get(l.name());
       if (front == null) {
-        fronts.put(l.name(), new Front(settings(l), gate, sockets, budget, log));
+        fronts.put(l.name(), new Front(settings(l), gate, sockets, budget, log.with("listener", l.name())));
       } else {
         front.gate(gate);
       }
@@ -142,12 +142,13 @@
 
   private WorkerPool start(Version.Pool p) {
     DaemonConfig.Pool c = p.config();
+    Log named = log.with("pool", c.name());
     Upstreams upstreams =
         new Upstreams(
-            loop, transport, new HttpProtocol(c.maxAnswer(), Long.MAX_VALUE, false, true, c.passErrors()), p.bounds(), sockets, log);
+            loop, transport, new HttpProtocol(c.maxAnswer(), Long.MAX_VALUE, false, true, c.passErrors()), p.bounds(), sockets, named);
     Dispatcher d =
         new Dispatcher(
-            loop, c.settings().at(c.settings().position() + number), seeds++, upstreams, budget, log);
+            c.name(), loop, c.settings().at(c.settings().position() + number), seeds++, upstreams, budget, named);
     d.start(p.members(), () -> {});
     return new WorkerPool(d, upstreams, p);
   }
--- a/src/main/java/corkproxy/engine/Dispatcher.java
+++ b/src/main/java/corkproxy/engine/Dispatcher.java
@@ -10,9 +10,12 @@
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -25,8 +28,13 @@
   /** The module's clock begins here, so that a host that started before this process has a time. */
   private static final double CLOCK_START = 1e9;
 
+  /** Ends of attempts that are told one by one. */
+  private static final Set<Result> FAILURES =
+      EnumSet.of(Result.ERROR, Result.FULL, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET);
+
   private record Event(Exchange about, Runnable what) {}
 
+  private final String name;
   private final EventLoop loop;
   private final Log log;
   private Settings settings;
@@ -42,9 +50,16 @@
   private Runnable follow = () -> {};
   private BooleanSupplier retries = () -> true;
 
-  /** A pool of hosts on this loop, with a module of its own that is seeded so. */
+  /** A pool of hosts on this loop, with a module of its own that is seeded so; it may have no name. */
   public Dispatcher(
-      EventLoop loop, Settings settings, long seed, Upstreams upstreams, BodyBudget budget, Log log) {
+      String name,
+      EventLoop loop,
+      Settings settings,
+      long seed,
+      Upstreams upstreams,
+      BodyBudget budget,
+      Log log) {
+    this.name = name;
     this.loop = loop;
     this.log = log;
     this.settings = settings;
@@ -59,6 +74,11 @@
     return CLOCK_START + (System.nanoTime() - startedAt) / 1e6;
   }
 
+  /** The pool's name, or null. */
+  public String name() {
+    return name;
+  }
+
   public EventLoop loop() {
     return loop;
   }
@@ -154,10 +174,23 @@
   }
 
   void outcome(
-      Exchange e, int number, Result result, double spent, boolean over, LoadReport report) {
+      Exchange e, Attempt a, Result result, double spent, boolean over, LoadReport report) {
+    int number = a.number();
+    if (FAILURES.contains(result) && log.details()) {
+      log.detail(
+          "attempt",
+          "outcome", word(result),
+          "server", a.host.name,
+          "attempt", number + 1,
+          "ms", Math.round(spent));
+    }
     deliver(e, () -> balancer.onOutcome(now(), e.id, number, result, spent, over, report));
   }
 
+  private static String word(Result r) {
+    return r.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
   void firstByte(Exchange e, int number, double spent) {
     deliver(e, () -> balancer.onFirstByte(now(), e.id, number, spent));
   }
@@ -265,20 +298,21 @@
 
   @Override
   public void log(String line) {
-    log.line(named(line));
+    String[] words = line.split(" ", 3);
+    Host h = words.length == 3 && words[0].equals("host") ? host(words[1]) : null;
+    if (h == null) {
+      log.line(line);
+    } else {
+      log.event("host " + h.name + " " + words[2], "server", h.name);
+    }
   }
 
-  /** A line of the module's with the host's name in place of its number. */
-  private String named(String line) {
-    String[] words = line.split(" ", 3);
-    if (words.length == 3 && words[0].equals("host")) {
-      try {
-        Host h = hosts.get(Long.parseLong(words[1]));
-        return h == null ? line : "host " + h.name + " " + words[2];
-      } catch (NumberFormatException e) {
-        return line;
-      }
+  /** The host that the module calls by this number, or null. */
+  private Host host(String number) {
+    try {
+      return hosts.get(Long.parseLong(number));
+    } catch (NumberFormatException e) {
+      return null;
     }
-    return line;
   }
 }
--- a/src/main/java/corkproxy/engine/Exchange.java
+++ b/src/main/java/corkproxy/engine/Exchange.java
@@ -64,6 +64,21 @@
     return Math.max(1, (long) (deadlineAt - dispatcher.now()));
   }
 
+  /** The pool that has it, or null. */
+  public String pool() {
+    return dispatcher.name();
+  }
+
+  /** Attempts so far in this pool, withheld ones included. */
+  public int attempts() {
+    return attempts.size();
+  }
+
+  /** The server of the last of them, or null. */
+  public String server() {
+    return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1).host.name;
+  }
+
   // --- attempts
 
   void send(Host host, double giveUpAfter) {
@@ -94,7 +109,7 @@
   void attemptEnded(Attempt a, Result result, double spent, LoadReport report) {
     open--;
     mayHaveRun |= !result.neverRan();
-    dispatcher.outcome(this, a.number(), result, spent, answered && !answering(), report);
+    dispatcher.outcome(this, a, result, spent, answered && !answering(), report);
     forgetIfDone();
   }
 
--- /dev/null
+++ b/src/main/java/corkproxy/engine/LineLog.java
@@ -0,0 +1,72 @@
+package corkproxy.engine;
+
+import java.io.PrintStream;
+
+/** Lines, written by whoever tells them: the platform's log, and that of tests. */
+public final class LineLog implements Log {
+  private static final int MAX_PER_SECOND = 50;
+
+  private final PrintStream out;
+  private final boolean details;
+  private long second;
+  private int written;
+  private long dropped;
+
+  /** {@code details} tells whether requests and attempts have lines. */
+  public LineLog(PrintStream out, boolean details) {
+    this.out = out;
+    this.details = details;
+  }
+
+  @Override
+  public boolean details() {
+    return details;
+  }
+
+  @Override
+  public synchronized void event(String what, Object... fields) {
+    if (admits()) {
+      StringBuilder s = new StringBuilder("corkproxy: ").append(what);
+      for (int i = 0; i + 1 < fields.length; i += 2) {
+        if (fields[i + 1] != null) {
+          s.append(' ').append(fields[i]).append('=').append(fields[i + 1]);
+        }
+      }
+      out.println(s.toString().replace('\n', ' ').replace('\r', ' '));
+    }
+  }
+
+  @Override
+  public void detail(String what, Object... fields) {
+    if (details) {
+      event(what, fields);
+    }
+  }
+
+  @Override
+  public synchronized void failure(String what, Throwable t) {
+    if (admits()) {
+      out.println("corkproxy: " + what);
+      t.printStackTrace(out);
+    }
+  }
+
+  // Guards against a log that outgrows the machine when every request has something to say.
+  private boolean admits() {
+    long now = System.nanoTime() / 1_000_000_000L;
+    if (now != second) {
+      if (dropped > 0) {
+        out.println("corkproxy: " + dropped + " lines left out");
+      }
+      second = now;
+      written = 0;
+      dropped = 0;
+    }
+    if (written >= MAX_PER_SECOND) {
+      dropped++;
+      return false;
+    }
+    written++;
+    return true;
+  }
+}
--- a/src/main/java/corkproxy/engine/Log.java
+++ b/src/main/java/corkproxy/engine/Log.java
@@ -1,53 +1,33 @@
 package corkproxy.engine;
 
-import java.io.PrintStream;
-
 /**
- * Lines for the people on call, on standard error; at most so many a second, the rest is counted. Safe
- * for use by many threads.
+ * What the people on call are told. Every kind is bounded a second, and what is past the bound is
+ * counted. Safe for use by many threads; never waits for whoever reads it.
+ *
+ * <p>Fields come as names and values in turn; one whose value is null is left out.
  */
-public final class Log {
-  private static final int MAX_PER_SECOND = 50;
+public interface Log {
+  /** A change of state, or what operators must know, in words. */
+  default void line(String text) {
+    event(text);
+  }
 
-  private final PrintStream out;
-  private long second;
-  private int written;
-  private long dropped;
+  /** The same with fields. */
+  void event(String what, Object... fields);
 
-  public Log(PrintStream out) {
-    this.out = out;
-  }
+  /** What became of one request or attempt; there may be any number a second. */
+  void detail(String what, Object... fields);
 
-  public synchronized void line(String text) {
-    if (admits()) {
-      out.println("corkproxy: " + text.replace('\n', ' ').replace('\r', ' '));
-    }
+  /** Whether {@link #detail} is of any use, so that fields need not be gathered in vain. */
+  default boolean details() {
+    return true;
   }
 
   /** A failure of our own code, with its stack. */
-  public synchronized void failure(String what, Throwable t) {
-    if (admits()) {
-      out.println("corkproxy: " + what);
-      t.printStackTrace(out);
-    }
-  }
+  void failure(String what, Throwable t);
 
-  // Guards against a log that outgrows the machine when every request has something to say.
-  private boolean admits() {
-    long now = System.nanoTime() / 1_000_000_000L;
-    if (now != second) {
-      if (dropped > 0) {
-        out.println("corkproxy: " + dropped + " lines left out");
-      }
-      second = now;
-      written = 0;
-      dropped = 0;
-    }
-    if (written >= MAX_PER_SECOND) {
-      dropped++;
-      return false;
-    }
-    written++;
-    return true;
+  /** The same log, with a field more in all that comes through this one. */
+  default Log with(String field, String value) {
+    return new LogWithField(this, field, value);
   }
 }
--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -217,13 +217,6 @@
     return connections.isEmpty();
   }
 
-  /** What can't be a request, told to the people on call at the log's bounded rate. */
-  void rejected(int status, Object client) {
-    if (settings.daemon()) {
-      log.line("turned away with " + status + ": a request from " + client);
-    }
-  }
-
   /** Whether anything that was taken, or is being taken, has no answer yet. */
   public boolean busy() {
     for (ClientConnection c : connections) {
--- a/src/main/java/corkproxy/http/HttpCall.java
+++ b/src/main/java/corkproxy/http/HttpCall.java
@@ -29,7 +29,7 @@
 final class HttpCall implements Call {
   private static final AsciiString TIMEOUT = AsciiString.cached("X-Timeout-Ms");
 
-  private final ClientConnection client;
+  private final AnswerWriter client;
   private final HttpRequest head;
   private final Body body;
   private final Upload upload;
@@ -48,7 +48,7 @@
    * answer may go on while it comes, {@code budget} (ms) what hosts are told of its time, 0 for what is left.
    */
   HttpCall(
-      ClientConnection client,
+      AnswerWriter client,
       HttpRequest head,
       Body body,
       Upload upload,
@@ -234,11 +234,9 @@
     Body whole = errorBody;
     error = null;
     errorBody = null;
-    client.answer(
-        reply,
-        reply.status().code() == 503 && !refused ? HttpResponseStatus.BAD_GATEWAY : reply.status(),
-        whole,
-        Headers.passable(errorTrailers));
+    HttpResponseStatus as =
+        reply.status().code() == 503 && !refused ? HttpResponseStatus.BAD_GATEWAY : reply.status();
+    client.error(reply, as, whole, Headers.passable(errorTrailers));
   }
 
   void answer(int status) {
--- a/src/main/java/corkproxy/http/Upload.java
+++ b/src/main/java/corkproxy/http/Upload.java
@@ -27,7 +27,7 @@
   /** What one read may bring past the bound before the client is held. */
   private static final int READ = 16 * 1024;
 
-  private final ClientConnection client;
+  private final RequestIntake client;
   private final BodyBudget budget;
   private final Body kept;
   private HttpAttempt taker;
@@ -38,7 +38,7 @@
   private boolean waits;
 
   /** A body of which {@code come} has come already, or null; it is this upload's now. */
-  Upload(ClientConnection client, Dispatcher pool, Body come, BodyBudget budget) {
+  Upload(RequestIntake client, Dispatcher pool, Body come, BodyBudget budget) {
     this.client = client;
     this.budget = budget;
     this.kept = come == null ? pool.newBody(-1, true) : come;
--- a/src/main/java/corkproxy/http/Verdict.java
+++ b/src/main/java/corkproxy/http/Verdict.java
@@ -14,6 +14,7 @@
  * @param arrival the request as it arrives there; its id is of no account
  * @param fallback what may take it up after that pool, or null
  * @param streaming whether bodies go on while they come
+ * @param origin what the log tells of the request, or null
  * @param done run once when the request has its final answer, or is dropped before
  */
 public record Verdict(
@@ -24,22 +25,36 @@
     Arrival arrival,
     Fallback fallback,
     Streaming streaming,
+    Origin origin,
     Runnable done) {
+  /** What a request is known by: its route, its class and the limit that refused it; each may be null. */
+  public record Origin(String route, String className, String limit) {}
+
   private static final Runnable NOTHING = () -> {};
 
   /** What can't be a request: an error, and the end of the connection. */
   public static Verdict reject(int status) {
-    return new Verdict(status, true, 0, null, null, null, Streaming.NEVER, NOTHING);
+    return new Verdict(status, true, 0, null, null, null, Streaming.NEVER, null, NOTHING);
   }
 
   /** A sound request that gets an answer of ours, after which its connection goes on. */
   public static Verdict answer(int status, double retryAfterMs) {
-    return new Verdict(status, false, retryAfterMs, null, null, null, Streaming.NEVER, NOTHING);
+    return answer(status, retryAfterMs, null);
+  }
+
+  /** The same, told in the log as of this origin. */
+  public static Verdict answer(int status, double retryAfterMs, Origin origin) {
+    return new Verdict(status, false, retryAfterMs, null, null, null, Streaming.NEVER, origin, NOTHING);
   }
 
   /** A request for this pool. */
   public static Verdict take(
-      Dispatcher target, Arrival arrival, Fallback fallback, Streaming streaming, Runnable done) {
-    return new Verdict(0, false, 0, target, arrival, fallback, streaming, done == null ? NOTHING : done);
+      Dispatcher target,
+      Arrival arrival,
+      Fallback fallback,
+      Streaming streaming,
+      Origin origin,
+      Runnable done) {
+    return new Verdict(0, false, 0, target, arrival, fallback, streaming, origin, done == null ? NOTHING : done);
   }
 }
--- a/src/main/java/corkproxy/proxy/PlatformGate.java
+++ b/src/main/java/corkproxy/proxy/PlatformGate.java
@@ -100,7 +100,7 @@
             timeout,
             estimate(h.get("X-Cost")),
             "1".equals(h.get("X-Retried")));
-    return Verdict.take(pool, arrival, null, Streaming.LARGE, null);
+    return Verdict.take(pool, arrival, null, Streaming.LARGE, null, null);
   }
 
   /** The work expected, which clients state in microseconds and the module takes in ms. */
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -3,6 +3,7 @@
 import corkproxy.balancer.Settings;
 import corkproxy.engine.BodyBudget;
 import corkproxy.engine.Dispatcher;
+import corkproxy.engine.LineLog;
 import corkproxy.engine.Log;
 import corkproxy.engine.NioTransport;
 import corkproxy.engine.PoolBounds;
@@ -18,6 +19,8 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Future;
 import java.net.BindException;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
 import java.nio.file.Path;
@@ -98,7 +101,7 @@
             sockets,
             log);
     this.dispatcher =
-        new Dispatcher(loop, config.settings(), config.seed(), upstreams, budget, log);
+        new Dispatcher(null, loop, config.settings(), config.seed(), upstreams, budget, log);
     this.gate = new PlatformGate(dispatcher, config.settings(), operators);
     this.front =
         new Front(FrontSettings.platform(config.maxOpen()), gate, sockets, budget, log);
@@ -134,7 +137,8 @@
    * @throws ConfigException if there is no configuration to run with
    */
   public static void run(Map<String, String> env) throws ConfigException {
-    Log log = new Log(System.err);
+    InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE); // or netty loads the daemon's log
+    Log log = new LineLog(System.err, false);
     Config config = Config.load(env);
     Generations generations = Generations.join(env.get("TMPDIR"));
     Operators operators = new Operators();
@@ -172,7 +176,8 @@
 
   /** Runs only what comes before a client proxy listens, with classes of its own. */
   public static void rehearse() {
-    Rehearsal.run(Config.example(), false, new Log(System.err));
+    InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+    Rehearsal.run(Config.example(), false, new LineLog(System.err, false));
   }
 
   /** Listens and starts the watch. */
--- a/src/main/java/corkproxy/proxy/Rehearsal.java
+++ b/src/main/java/corkproxy/proxy/Rehearsal.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import corkproxy.balancer.Settings;
+import corkproxy.engine.LineLog;
 import corkproxy.engine.Log;
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -83,8 +84,8 @@
             own,
             new Operators(),
             Generations.alone(),
-            new Log(
-                new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8)));
+            new LineLog(
+                new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8), false));
     try {
       proxy.start();
       ask(proxy.address());
--- a/src/test/java/corkproxy/cli/CommandsTest.java
+++ b/src/test/java/corkproxy/cli/CommandsTest.java
@@ -7,17 +7,14 @@
 import corkproxy.standin.HttpStandIn;
 import corkproxy.standin.Ledger;
 import java.io.BufferedReader;
-import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -25,11 +22,7 @@
 class CommandsTest {
   @TempDir Path folder;
 
-  /** Without what only tests bring along: netty would log through it. */
-  private static final String CLASS_PATH =
-      Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
-          .filter(p -> !p.contains("slf4j"))
-          .collect(Collectors.joining(File.pathSeparator));
+  private static final String CLASS_PATH = System.getProperty("java.class.path");
 
   private record Run(int status, String out, String err) {}
 
@@ -189,6 +182,8 @@
                     || l.contains("netty.channel.epoll.")
                     || l.contains("netty.channel.uring.")
                     || l.contains("corkproxy.engine.NativeTransport")
+                    || l.contains("org.slf4j.")
+                    || l.contains("ch.qos.logback.")
                     || l.contains("picocli.")
                     || l.contains("re2j.")
                     || l.contains("HdrHistogram.")
--- a/src/test/java/corkproxy/daemon/DaemonTest.java
+++ b/src/test/java/corkproxy/daemon/DaemonTest.java
@@ -8,7 +8,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import corkproxy.engine.Log;
+import corkproxy.engine.LineLog;
 import corkproxy.proxy.World;
 import corkproxy.standin.HttpStandIn;
 import corkproxy.standin.HttpStandIn.Fault;
@@ -138,7 +138,7 @@
       String taken =
           "[listener.second]\naddress = \"127.0.0.1:" + other.getLocalPort() + "\"\n";
       it.write(LISTENER, taken, CLASSES, pool("a", "", a), CLAIMS);
-      assertThatThrownBy(() -> new Daemon(it.file, new Log(quiet())))
+      assertThatThrownBy(() -> new Daemon(it.file, form -> new LineLog(quiet(), false)))
           .isInstanceOf(FaultyFileException.class)
           .hasMessageContaining("listener.second.address");
       it.start(LISTENER, CLASSES, pool("a", "", a), CLAIMS);
@@ -353,7 +353,7 @@
         route("rest", "/", "pool = \"a\""));
     assertThat(it.status(request("GET", path, "r"))).isEqualTo(400);
     assertThat(it.ledger.executions()).isZero();
-    assertThat(it.log()).contains("turned away with 400");
+    assertThat(it.log()).contains("outcome=turned-away status=400");
   }
 
   @Test
@@ -515,7 +515,7 @@
       assertThat(it.status("GET /../x HTTP/1.1\r\nHost: a\r\n\r\n")).isEqualTo(400);
     }
     long seconds = 3; // ample: the loop above takes less, and the log counts whole seconds
-    assertThat(it.log().lines().filter(l -> l.contains("turned away")).count())
+    assertThat(it.log().lines().filter(l -> l.contains("outcome=turned-away")).count())
         .isLessThanOrEqualTo(50 * (seconds + 1));
   }
 
--- a/src/test/java/corkproxy/daemon/HeadersTest.java
+++ b/src/test/java/corkproxy/daemon/HeadersTest.java
@@ -101,7 +101,7 @@
   void noConnectionOptionTakesAwayWhatWasJudged(String options) throws Exception {
     assertThat(it.status(judged("Connection: " + options + "\r\n"))).isEqualTo(400);
     assertThat(heads).isEmpty();
-    assertThat(it.log()).contains("turned away with 400");
+    assertThat(it.log()).contains("outcome=turned-away status=400");
   }
 
   @Test
--- a/src/test/java/corkproxy/daemon/Installation.java
+++ b/src/test/java/corkproxy/daemon/Installation.java
@@ -1,6 +1,6 @@
 package corkproxy.daemon;
 
-import corkproxy.engine.Log;
+import corkproxy.engine.LineLog;
 import corkproxy.proxy.World;
 import corkproxy.standin.HttpStandIn;
 import corkproxy.standin.Ledger;
@@ -85,7 +85,7 @@
 
   void start(String... parts) throws Exception {
     write(parts);
-    daemon = new Daemon(file, new Log(new PrintStream(logged, true, StandardCharsets.UTF_8)));
+    daemon = new Daemon(file, form -> new LineLog(new PrintStream(logged, true, StandardCharsets.UTF_8), true));
   }
 
   String log() {
--- a/src/test/java/corkproxy/fuzz/FrontFuzz.java
+++ b/src/test/java/corkproxy/fuzz/FrontFuzz.java
@@ -3,6 +3,8 @@
 import corkproxy.daemon.FuzzedDaemon;
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -171,8 +173,27 @@
     return of[random.nextInt(of.length)];
   }
 
-  /** Makes inputs for so many seconds, from a seed on: {@code FrontFuzz SECONDS [SEED]}. */
+  /** Writes so many inputs of the grammar, in {@link #fuzzerTestOneInput}'s form, for a fuzzer to begin with. */
+  private static void corpus(Path folder, int inputs) throws IOException {
+    SplittableRandom random = new SplittableRandom(1);
+    for (int i = 0; i < inputs; i++) {
+      byte[] bytes = make(random);
+      byte[] input = new byte[bytes.length + 1];
+      input[0] = (byte) random.nextInt(256);
+      System.arraycopy(bytes, 0, input, 1, bytes.length);
+      Files.write(folder.resolve("grammar-" + i), input);
+    }
+  }
+
+  /**
+   * Makes inputs for so many seconds, from a seed on: {@code FrontFuzz SECONDS [SEED]}. {@code FrontFuzz
+   * corpus FOLDER N} writes N of them instead.
+   */
   public static void main(String[] args) throws Exception {
+    if (args[0].equals("corpus")) {
+      corpus(Path.of(args[1]), Integer.parseInt(args[2]));
+      return;
+    }
     long until = System.nanoTime() + (long) (Double.parseDouble(args[0]) * 1e9);
     long seed = args.length > 1 ? Long.parseLong(args[1]) : System.nanoTime();
     long inputs = 0;
--- a/src/test/java/corkproxy/proxy/OperationsTest.java
+++ b/src/test/java/corkproxy/proxy/OperationsTest.java
@@ -6,7 +6,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import corkproxy.engine.Log;
+import corkproxy.engine.LineLog;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
@@ -73,7 +73,7 @@
             o::serves,
             o::sendAway,
             o::takeBack,
-            new Log(new PrintStream(OutputStream.nullOutputStream(), true, StandardCharsets.UTF_8)));
+            new LineLog(new PrintStream(OutputStream.nullOutputStream(), true, StandardCharsets.UTF_8), false));
     management.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
   }
 
--- a/src/test/java/corkproxy/proxy/RehearsalTest.java
+++ b/src/test/java/corkproxy/proxy/RehearsalTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import corkproxy.engine.Log;
+import corkproxy.engine.LineLog;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -20,7 +20,7 @@
       Rehearsal.run(
           Config.load(Map.of("BALANCER_CONFIG", file)),
           false,
-          new Log(new PrintStream(lines, true, StandardCharsets.UTF_8)));
+          new LineLog(new PrintStream(lines, true, StandardCharsets.UTF_8), false));
       assertThat(lines.toString(StandardCharsets.UTF_8)).isEmpty();
     }
   }
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -1,6 +1,6 @@
 package corkproxy.proxy;
 
-import corkproxy.engine.Log;
+import corkproxy.engine.LineLog;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -209,7 +209,7 @@
     configure(d.address(), d.list);
     proxy =
         new Proxy(
-            Config.load(Map.of("BALANCER_CONFIG", file.toString())), operators, generations, new Log(quiet()));
+            Config.load(Map.of("BALANCER_CONFIG", file.toString())), operators, generations, new LineLog(quiet(), false));
     proxy.start();
   }
 
