--- a/src/main/java/corkproxy/daemon/Daemon.java
+++ b/src/main/java/corkproxy/daemon/Daemon.java
@@ -22,6 +22,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -235,6 +236,11 @@
     return b == null ? null : (InetSocketAddress) b.channel().localAddress();
   }
 
+  /** The workers' loops. */
+  Set<EventLoop> loops() {
+    return workers.keySet();
+  }
+
   /** The number of the version in force, from 1. */
   public synchronized long version() {
     return version.number;
--- a/src/main/java/corkproxy/daemon/Worker.java
+++ b/src/main/java/corkproxy/daemon/Worker.java
@@ -117,7 +117,7 @@
       DaemonGate gate = new DaemonGate(this, v, l);
       Front front = fronts.get(l.name());
       if (front == null) {
-        fronts.put(l.name(), new Front(settings(l), gate, sockets, budget, log.with("listener", l.name())));
+        fronts.put(l.name(), new Front(settings(l), gate, transport, sockets, budget, log.with("listener", l.name())));
       } else {
         front.gate(gate);
       }
--- a/src/main/java/corkproxy/engine/NativeTransport.java
+++ b/src/main/java/corkproxy/engine/NativeTransport.java
@@ -55,6 +55,9 @@
     }
   };
 
+  /** The state of a connection whose other side has ended (linux/tcp.h, tcp_info). */
+  private static final int CLOSE_WAIT = 8;
+
   private static final ThreadLocal<ByteBuffer> ONE =
       ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(1));
 
@@ -63,6 +66,13 @@
     return this == EPOLL ? Epoll.unavailabilityCause() : IoUring.unavailabilityCause();
   }
 
+  @Override
+  public End end(Channel client) {
+    return client instanceof EpollSocketChannel c && c.isOpen() && c.tcpInfo().state() == CLOSE_WAIT
+        ? End.ENDED
+        : End.NONE;
+  }
+
   @Override
   public boolean quiet(Channel connection) {
     FileDescriptor fd = ((UnixChannel) connection).fd();
--- a/src/main/java/corkproxy/engine/NioTransport.java
+++ b/src/main/java/corkproxy/engine/NioTransport.java
@@ -8,13 +8,32 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 
 /** The JDK's sockets, on any platform. */
 public final class NioTransport implements Transport {
-  /** A socket to a host that can be asked, just before it is written to, whether it is still quiet. */
+  /** A socket that can be asked, ahead of the loop's next turn, what has come on it. */
   public static final class Connection extends NioSocketChannel {
     private final ByteBuffer one = ByteBuffer.allocate(1);
 
+    /** One to a host. */
+    public Connection() {}
+
+    /** A client's. */
+    public Connection(Channel listener, SocketChannel accepted) {
+      super(listener, accepted);
+    }
+
+    private End end() {
+      try {
+        one.clear();
+        int n = javaChannel().read(one);
+        return n < 0 ? End.ENDED : n == 0 ? End.NONE : End.LOST_BYTE;
+      } catch (IOException e) {
+        return End.ENDED;
+      }
+    }
+
     /**
      * Guards against a write to a pooled connection that the host has closed, whose end waits in the
      * kernel for the loop's next turn: the request would count as one that may have run.
@@ -44,6 +63,11 @@
     return Connection.class;
   }
 
+  @Override
+  public End end(Channel client) {
+    return client instanceof Connection c ? c.end() : End.NONE;
+  }
+
   @Override
   public boolean quiet(Channel connection) {
     return ((Connection) connection).quiet();
--- a/src/main/java/corkproxy/engine/Transport.java
+++ b/src/main/java/corkproxy/engine/Transport.java
@@ -15,6 +15,24 @@
   /** What connects to hosts. */
   Class<? extends Channel> connection();
 
+  /**
+   * Whether a client has ended its side of a connection, though that has not been read yet; asks the
+   * socket itself, on its loop. Only after a request has come whole, and at the most once for it: where the
+   * socket can't tell otherwise, a byte that came behind the request is lost, and the answer is {@link
+   * End#LOST_BYTE}.
+   */
+  End end(Channel client);
+
+  /** What a look at a client's socket tells. */
+  enum End {
+    /** Nothing has come, or it can't be told. */
+    NONE,
+    /** The client has gone, or at least sends no more. */
+    ENDED,
+    /** A byte came and is lost: nothing that comes on the connection can be read any more. */
+    LOST_BYTE
+  }
+
   /**
    * Whether nothing has come and nothing has ended on a connection to a host; asks the socket itself
    * and may be asked on the channel's loop only. What it reads to find out is lost, so false means that
--- a/src/main/java/corkproxy/http/ClientConnection.java
+++ b/src/main/java/corkproxy/http/ClientConnection.java
@@ -107,10 +107,7 @@
       } else if (front.settings().pipeline() > 1) {
         hold((HttpObject) msg);
       } else {
-        // Guards against floods of requests sent at once: clients send one at a time, so what
-        // comes ahead of an answer is thrown away, and the connection ends with that answer.
-        closing = true;
-        channel.config().setAutoRead(false);
+        sentAhead();
       }
     } finally {
       ReferenceCountUtil.release(msg);
@@ -185,9 +182,20 @@
     closing = last;
   }
 
-  /** The client has sent a request, or as much of one as it takes to believe it. */
-  void spoke() {
+  /** The client has sent a request, or as much of one as it takes to believe it; whether it is the first. */
+  boolean spoke() {
+    boolean first = !spoken;
     spoken = true;
+    return first;
+  }
+
+  /**
+   * More has come than the present request. Guards against floods of requests sent at once: clients send one
+   * at a time, so what comes ahead of an answer is thrown away, and the connection ends with that answer.
+   */
+  void sentAhead() {
+    closing = true;
+    channel.config().setAutoRead(false);
   }
 
   /** The engine is about to take the request. */
--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -3,6 +3,7 @@
 import corkproxy.engine.BodyBudget;
 import corkproxy.engine.Log;
 import corkproxy.engine.Sockets;
+import corkproxy.engine.Transport;
 import corkproxy.engine.Upstreams;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -37,6 +38,7 @@
   /** How long (ms) the listener rests where nothing can make room yet. */
   private static final long REST_MS = 20;
 
+  private final Transport transport;
   private final Sockets sockets;
   private final BodyBudget budget;
   private final Log log;
@@ -48,10 +50,18 @@
   private boolean draining;
   private long awaySince;
   private long refusedForMemory;
+  private long abandoned;
   private long refusedForSockets;
 
   /** A front of one loop; it listens itself, or is given what another has accepted. */
-  public Front(FrontSettings settings, Gate gate, Sockets sockets, BodyBudget budget, Log log) {
+  public Front(
+      FrontSettings settings,
+      Gate gate,
+      Transport transport,
+      Sockets sockets,
+      BodyBudget budget,
+      Log log) {
+    this.transport = transport;
     this.settings = settings;
     this.gate = gate;
     this.sockets = sockets;
@@ -235,6 +245,20 @@
     }
   }
 
+  /** Requests whose client had gone before they were taken: nobody waits for an answer. */
+  void abandonedUntaken() {
+    abandoned++;
+  }
+
+  /** How many there were of those. */
+  public long abandoned() {
+    return abandoned;
+  }
+
+  Transport transport() {
+    return transport;
+  }
+
   void refusedForMemory() {
     log.line("out of memory for bodies: " + ++refusedForMemory + " requests refused unsent");
   }
--- a/src/main/java/corkproxy/http/RequestIntake.java
+++ b/src/main/java/corkproxy/http/RequestIntake.java
@@ -315,7 +315,7 @@
       whole.end(trailers);
       return;
     }
-    client.spoke();
+    boolean first = client.spoke();
     front.budget().forget(resume);
     if (paused) {
       resumeReading();
@@ -333,6 +333,10 @@
       answers.answer(verdict.status(), verdict.retryAfterMs());
       return;
     }
+    if ((first || !front.settings().daemon()) && abandoned()) {
+      free(whole);
+      return;
+    }
     if (!takeId(request)) {
       free(whole);
       return;
@@ -354,6 +358,25 @@
     d.take(call, verdict.arrival().within(left), verdict.fallback());
   }
 
+  /**
+   * Whether the client has gone already. Guards against a queue of requests that nobody waits for any more:
+   * after a pause, or in a crowd, those that were given up stand ahead of those that can still be answered,
+   * and what is done for them makes the others late. It costs a look at the socket.
+   */
+  private boolean abandoned() {
+    switch (front.transport().end(channel)) {
+      case ENDED -> {
+        front.abandonedUntaken();
+        client.tell("client-gone", null);
+        channel.close();
+        return true;
+      }
+      case LOST_BYTE -> client.sentAhead();
+      case NONE -> {}
+    }
+    return false;
+  }
+
   // --- ends
 
   /** The present request has its answer; what of it comes still is read for nothing, or is none. */
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -104,7 +104,7 @@
         new Dispatcher(null, loop, config.settings(), config.seed(), upstreams, budget, log);
     this.gate = new PlatformGate(dispatcher, config.settings(), operators);
     this.front =
-        new Front(FrontSettings.platform(config.maxOpen()), gate, sockets, budget, log);
+        new Front(FrontSettings.platform(config.maxOpen()), gate, TRANSPORT, sockets, budget, log);
     this.discovery = new Discovery(group, config, dispatcher, log);
   }
 
@@ -337,6 +337,11 @@
     }
   }
 
+  /** The loop on which all of it runs. */
+  EventLoop loop() {
+    return loop;
+  }
+
   /** Ends the loop at once. */
   void stop() {
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
--- a/src/main/java/corkproxy/standin/Storm.java
+++ b/src/main/java/corkproxy/standin/Storm.java
@@ -314,7 +314,7 @@
               if (channel == mine && !asks) {
                 reopen();
               } else if (channel == mine) {
-                gone();
+                turnedAway();
               }
               return;
             }
@@ -435,29 +435,39 @@
       }
     }
 
+    /** The request that is out, if one is, never gets an answer. */
+    private boolean gaveUp() {
+      if (asked == null) {
+        return false;
+      }
+      timer.cancel(false);
+      if (counted) {
+        asked.gaveUp++;
+      }
+      asked = null;
+      return true;
+    }
+
     /** No answer came in time, or can come: connects anew at once. */
     private void gone() {
       if (asked != null) {
-        timer.cancel(false);
-        if (counted) {
-          asked.gaveUp++;
-        }
-        asked = null;
         again();
       }
     }
 
+    /** Nobody listens: the request has failed, and the next one comes after a pause, as any client's would. */
+    private void turnedAway() {
+      channel = null;
+      if (gaveUp()) {
+        loop.schedule(this::next, REOPEN_MS, TimeUnit.MILLISECONDS);
+      }
+    }
+
     /** Closes and connects anew. */
     void again() {
       Channel mine = channel;
       channel = null;
-      if (asked != null) {
-        timer.cancel(false);
-        if (counted) {
-          asked.gaveUp++;
-        }
-        asked = null;
-      }
+      gaveUp();
       if (mine != null) {
         mine.close();
       }
--- a/src/test/java/corkproxy/cli/CommandsTest.java
+++ b/src/test/java/corkproxy/cli/CommandsTest.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The commands as processes of their own. */
 class CommandsTest {
@@ -92,6 +94,26 @@
     }
   }
 
+  /** The short form of the rig: a whole core, so that the verdict is the same each time. */
+  @ParameterizedTest
+  @ValueSource(strings = {"silent", "pause", "restart"})
+  void theDaemonComesBackFromAStormByItself(String kind) throws Exception {
+    Run r =
+        run(
+            "storm", kind, "--json", "--share", "1", "--clients", "20", "--think-ms", "50", "--crowd", "300",
+            "--descriptors", "256", "--timeout-ms", "1000", "--calm", "2", "--trigger", "1.5", "--after", "5");
+    JsonNode json = new ObjectMapper().readTree(r.out());
+    assertThat(r.status()).as(r.out() + r.err()).isZero();
+    assertThat(json.path("calm_served").asDouble()).isGreaterThan(0.9);
+    assertThat(json.path("recovered_after_s").asDouble(99)).isLessThan(4);
+    if (kind.equals("pause")) {
+      assertThat(json.path("longest_gap_s").asDouble()).isGreaterThan(1); // it did stand still
+    }
+    if (kind.equals("restart")) {
+      assertThat(json.path("restart_s").asDouble()).isPositive();
+    }
+  }
+
   /** A stand-in, the daemon before it, a signal for a reload and one for the end. */
   @Test
   void theDaemonReloadsOnHangupAndEndsWithNoughtOnTerm() throws Exception {
--- a/src/test/java/corkproxy/daemon/DaemonTest.java
+++ b/src/test/java/corkproxy/daemon/DaemonTest.java
@@ -23,6 +23,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -507,6 +508,30 @@
         .isEqualTo(200);
   }
 
+  @Test
+  void aRequestWhoseClientHasGoneIsNotSentThoughTheLoopComesToItLate() throws Exception {
+    HttpStandIn a = it.host("a");
+    it.start(LISTENER, CLASSES, pool("a", "", a), CLAIMS);
+    assertThat(it.status(request("POST", "/c", "warm"))).isEqualTo(200);
+    CountDownLatch held = new CountDownLatch(1);
+    CountDownLatch release = new CountDownLatch(1);
+    it.daemon.loops().iterator().next().submit(
+        () -> {
+          held.countDown();
+          return release.await(30, java.util.concurrent.TimeUnit.SECONDS);
+        });
+    held.await();
+    try (Socket stays = it.client()) {
+      try (Socket gone = it.client()) {
+        World.write(gone, request("POST", "/c", "gone"));
+      }
+      World.write(stays, request("POST", "/c", "stays"));
+      release.countDown();
+      assertThat(World.read(stays.getInputStream())).contains("stays");
+    }
+    assertThat(a.served()).isEqualTo(2);
+  }
+
   @Test
   void theLogOfBadInputIsBounded() throws Exception {
     HttpStandIn a = it.host("a");
--- a/src/test/java/corkproxy/proxy/ProxyTest.java
+++ b/src/test/java/corkproxy/proxy/ProxyTest.java
@@ -69,6 +69,39 @@
     assertThat(world.ask(claim("b"))).endsWith("next");
   }
 
+  // --- clients that have given up
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void aRequestWhoseClientHasGoneIsNotSentThoughTheLoopComesToItLate(boolean onAnOldConnection) throws Exception {
+    World.Host host = world.new Host(h -> ok("done"));
+    world.start(host);
+    assertThat(world.ask(claim("warm"))).endsWith("done"); // its connection to the host stands ready
+    Socket gone = world.client();
+    try (Socket stays = world.client()) {
+      if (onAnOldConnection) {
+        write(gone, claim("first"));
+        assertThat(World.read(gone.getInputStream())).endsWith("done");
+      }
+      int before = world.sends();
+      Thread.sleep(50); // the rest of a connection to a host is over
+      CountDownLatch held = new CountDownLatch(1);
+      CountDownLatch release = new CountDownLatch(1);
+      world.proxy.loop().submit(
+          () -> {
+            held.countDown();
+            return release.await(World.PATIENCE_MS, TimeUnit.MILLISECONDS);
+          });
+      assertThat(held.await(World.PATIENCE_MS, TimeUnit.MILLISECONDS)).isTrue();
+      write(gone, claim("gone"));
+      gone.close();
+      write(stays, claim("stays"));
+      release.countDown();
+      assertThat(World.read(stays.getInputStream())).endsWith("done");
+      assertThat(world.sends() - before).isEqualTo(1);
+    }
+  }
+
   @Test
   void hangupIsASignalLikeOthers() throws Exception {
     CountDownLatch told = new CountDownLatch(1);
