Take out a counter that nothing reads; one set-up of the log's encoder

Cause: requests dropped with their clients were counted for nobody; their record in the log tells of them. The daemon's log and the quiet one set up the same encoder, line for line. Log promised that it never waits, which holds for the daemon's only. Change: the counter and its two methods go; RecordEncoder is ready when it is made; the Javadoc says who waits.

--- a/src/main/java/corkproxy/daemon/DaemonLog.java
+++ b/src/main/java/corkproxy/daemon/DaemonLog.java
@@ -53,12 +53,9 @@
     if (context.getMDCAdapter() == null) {
       context.setMDCAdapter(new LogbackMDCAdapter()); // SLF4J gives one to its own context only
     }
-    RecordEncoder encoder = new RecordEncoder(form);
-    encoder.setContext(context);
-    encoder.start();
     OutputStreamAppender<ILoggingEvent> writer = new OutputStreamAppender<>();
     writer.setContext(context);
-    writer.setEncoder(encoder);
+    writer.setEncoder(new RecordEncoder(context, form));
     writer.setOutputStream(out);
     writer.start();
     queue.setContext(context);
--- a/src/main/java/corkproxy/daemon/QuietLogging.java
+++ b/src/main/java/corkproxy/daemon/QuietLogging.java
@@ -14,13 +14,10 @@
 public final class QuietLogging extends ContextAwareBase implements Configurator {
   @Override
   public ExecutionStatus configure(LoggerContext context) {
-    RecordEncoder encoder = new RecordEncoder(LogForm.TEXT);
-    encoder.setContext(context);
-    encoder.start();
     // Not an appender of a stream: the end of that one closes standard error for everybody.
     ConsoleAppender<ILoggingEvent> out = new ConsoleAppender<>();
     out.setContext(context);
-    out.setEncoder(encoder);
+    out.setEncoder(new RecordEncoder(context, LogForm.TEXT));
     out.setTarget("System.err");
     out.start();
     var root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
--- a/src/main/java/corkproxy/daemon/RecordEncoder.java
+++ b/src/main/java/corkproxy/daemon/RecordEncoder.java
@@ -1,5 +1,6 @@
 package corkproxy.daemon;
 
+import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.ThrowableProxyUtil;
 import ch.qos.logback.core.encoder.EncoderBase;
@@ -28,8 +29,11 @@
   private final JsonFactory json = new JsonFactory();
   private final LogForm form;
 
-  RecordEncoder(LogForm form) {
+  /** One that is ready to write. */
+  RecordEncoder(LoggerContext context, LogForm form) {
     this.form = form;
+    setContext(context);
+    start();
   }
 
   @Override
--- a/src/main/java/corkproxy/engine/LineLog.java
+++ b/src/main/java/corkproxy/engine/LineLog.java
@@ -2,7 +2,7 @@
 
 import java.io.PrintStream;
 
-/** Lines, written by whoever tells them: the platform's log, and that of tests. */
+/** Lines, written by whoever tells them, who waits for the stream: the platform's log, and that of tests. */
 public final class LineLog implements Log {
   private static final int MAX_PER_SECOND = 50;
 
--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -50,7 +50,6 @@
   private boolean draining;
   private long awaySince;
   private long refusedForMemory;
-  private long abandoned;
   private long refusedForSockets;
 
   /** A front of one loop; it listens itself, or is given what another has accepted. */
@@ -245,16 +244,6 @@
     }
   }
 
-  /** Requests whose client had gone before they were taken: nobody waits for an answer. */
-  void abandonedUntaken() {
-    abandoned++;
-  }
-
-  /** How many there were of those. */
-  public long abandoned() {
-    return abandoned;
-  }
-
   Transport transport() {
     return transport;
   }
--- a/src/main/java/corkproxy/http/RequestIntake.java
+++ b/src/main/java/corkproxy/http/RequestIntake.java
@@ -366,7 +366,6 @@
   private boolean abandoned() {
     switch (front.transport().end(channel)) {
       case ENDED -> {
-        front.abandonedUntaken();
         client.tell("client-gone", null);
         channel.close();
         return true;
--- a/src/main/java/corkproxy/standin/ChildProxy.java
+++ b/src/main/java/corkproxy/standin/ChildProxy.java
@@ -5,7 +5,6 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -189,7 +188,7 @@
 
   private static List<String> lines(Path file) {
     try {
-      return new ArrayList<>(Files.readAllLines(file));
+      return Files.readAllLines(file);
     } catch (IOException e) {
       return List.of();
     }
