Take out refusal by own delay: it made a collapse; pressure goes by all of the time again

Change: late() is as it was; pressure, which always lets a part through, counts the time in this process too. Blame, silence and each host's slowness still go by the hosts' own time. Ruled out: descriptors (212 of 384), memory (100 of 208 MB), the hosts.

--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -138,7 +138,8 @@
           type.answered(spent);
           fleet.answered(a.host, now, spent / Math.max(0.1, mean));
           fleet.queued(a.host, a.ownBefore, spent);
-          admission.answered(now, spent, type.rules.aim());
+          // Pressure goes by all of the time: this process, too, may be what has no room.
+          admission.answered(now, spent + fleet.behind(now), type.rules.aim());
         }
       }
       case ERROR -> health.failed(a.host, now, true);
@@ -155,7 +156,8 @@
       case TIMEOUT, RESET, CONNECT_FAILED -> {
         // A host that has answered others since is busy, or lost this one; a silent one is broken.
         if (result == Result.TIMEOUT && !c.streaming) {
-          admission.answered(now, spent, type.rules.aim());
+          // Pressure goes by all of the time: this process, too, may be what has no room.
+          admission.answered(now, spent + fleet.behind(now), type.rules.aim());
         }
         if (result != Result.TIMEOUT || a.host.lastAnswer <= a.sentAt) {
           health.failed(a.host, now, false);
--- a/src/main/java/corkproxy/balancer/Draw.java
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -75,13 +75,9 @@
     return best;
   }
 
-  /** Whether the host tells of a queue that can't be through in time, or this process is such a one. */
+  /** Whether the host tells of a queue that can't be through in time. */
   boolean late(Attempts.Call c, Fleet.Host h, double now) {
-    double aim = c.type.rules.aim();
-    // A request waits here before it is sent, and its answer does once more.
-    return 2 * fleet.behind(now) > aim - Math.min(aim / 2, c.type.meanAnswer)
-        || full(c, h)
-        || fleet.expectedAnswer(h, now) > Tuning.REFUSE_AT * usefulTime(c);
+    return full(c, h) || fleet.expectedAnswer(h, now) > Tuning.REFUSE_AT * usefulTime(c);
   }
 
   /** Whether our own requests at the host alone are such a queue. */
