Lend clients the descriptors that hosts leave; carry no more requests than hosts can take

Change: Sockets lends what hosts leave but for a margin, and has it given back by whoever makes room most readily; Front counts what is carried and refuses unsent past the number of connections to hosts.

--- a/src/main/java/corkproxy/engine/Sockets.java
+++ b/src/main/java/corkproxy/engine/Sockets.java
@@ -2,10 +2,17 @@
 
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /**
- * The bound over all descriptors, half of them for clients and half for hosts, so that neither side
- * can take the other's. Idle connections to hosts make room for new ones, oldest first.
+ * The bound over all descriptors. Half of them are hosts' whenever they need them; clients have the other half,
+ * and what hosts leave of their own, which they give back when a host's connection is to be opened: idle ones to hosts go
+ * first, oldest first, then whichever client makes room most readily.
+ *
+ * <pre>
+ *   |&lt;------- clients, at least -------&gt;|&lt;- lent -&gt;|&lt;- margin -&gt;|&lt;- open to hosts -&gt;|
+ *   0                                 half                                       all of them
+ * </pre>
  */
 public final class Sockets {
   /** A connection that carries nothing and may be closed to make room. */
@@ -21,6 +28,8 @@
 
   private final int descriptors;
   private int limit;
+  private int all;
+  private BooleanSupplier yields = () -> false;
   private int otherClients;
   private int otherUpstreams;
   private final Set<Idle> idleUpstreams = new LinkedHashSet<>();
@@ -34,18 +43,34 @@
 
   /** All descriptors are this process's. */
   public void alone() {
-    limit = Math.max(LEAST, (descriptors - RESERVED) / 2);
+    limit(descriptors - RESERVED);
     otherClients = 0;
     otherUpstreams = 0;
   }
 
   /** Another process goes by the same bound, and holds so many. What is open here stays. */
   public void shared(int clientsThere, int upstreamsThere) {
-    limit = Math.max(LEAST, (descriptors - 2 * RESERVED) / 2);
+    limit(descriptors - 2 * RESERVED);
     otherClients = clientsThere;
     otherUpstreams = upstreamsThere;
   }
 
+  private void limit(int descriptors) {
+    limit = Math.max(LEAST, descriptors / 2);
+    all = 2 * limit;
+  }
+
+  /** Who closes the client that makes room most readily, where there is one; false if there is none. */
+  public void onWanted(BooleanSupplier closesClient) {
+    yields = closesClient;
+  }
+
+  /** What clients may have of all now: half, and what hosts leave of theirs but for a margin. */
+  private int clientLimit() {
+    int hosts = upstreams + otherUpstreams;
+    return Math.max(limit, all - hosts - Math.max(LEAST, Math.max(hosts, limit) / 4));
+  }
+
   /** Connections of clients that are open. */
   public int clients() {
     return clients;
@@ -58,12 +83,13 @@
 
   /** Whether one more client may be accepted. */
   public boolean roomForClient() {
-    return clients < Math.max(LEAST, limit - otherClients);
+    return clients < Math.max(LEAST, clientLimit() - otherClients);
   }
 
   /** Whether so little is left for clients that those who have their answer should not stay. */
   public boolean crowded() {
-    return clients + otherClients >= limit - Math.max(2, limit / 16);
+    int most = clientLimit();
+    return clients + otherClients >= most - Math.max(2, most / 16);
   }
 
   /** Whether one more connection to a host may be opened once something idle was closed. */
@@ -74,7 +100,22 @@
       idleUpstreams.remove(oldest);
       oldest.closeIdle();
     }
-    return upstreams < most;
+    // What clients have been lent is the hosts' again when they need it.
+    while (upstreams < most && lacks() && yields.getAsBoolean()) {
+      // until there is room, or nobody gives way
+    }
+    return upstreams < most && !lacks();
+  }
+
+  /** Whether clients hold what hosts need. */
+  private boolean lacks() {
+    int others = clients + otherClients;
+    return others > limit && others + upstreams + otherUpstreams >= all;
+  }
+
+  /** Whether one more request may be carried, beside so many: each needs a connection to a host. */
+  public boolean roomForRequest(int carried) {
+    return carried < limit;
   }
 
   public void clientOpened() {
--- a/src/main/java/corkproxy/http/ClientConnection.java
+++ b/src/main/java/corkproxy/http/ClientConnection.java
@@ -72,7 +72,7 @@
     if (c != null && !c.exchange().answered()) {
       tell("client-gone", null);
     }
-    call = null;
+    letGo();
     intake.close();
     dropHeld();
     front.closed(this);
@@ -201,6 +201,14 @@
   /** The engine is about to take the request. */
   void carries(HttpCall next) {
     call = next;
+    front.carries();
+  }
+
+  private void letGo() {
+    if (call != null) {
+      call = null;
+      front.carried();
+    }
   }
 
   /** What the engine has, or null. */
@@ -224,7 +232,7 @@
 
   /** The answer is on its way; true if the connection stays, and nothing of the request comes any more. */
   boolean answered(ChannelFuture written) {
-    call = null;
+    letGo();
     intake.answered();
     idleSince = System.nanoTime();
     if (intake.skipping()) {
--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -48,6 +48,7 @@
   private final Set<String> openIds = new HashSet<>();
   private Listener listener;
   private boolean draining;
+  private int carried;
   private long awaySince;
   private long refusedForMemory;
   private long refusedForSockets;
@@ -66,6 +67,7 @@
     this.sockets = sockets;
     this.budget = budget;
     this.log = log;
+    sockets.onWanted(this::yieldOne);
   }
 
   /** Listens, beside other processes that do; throws what the bind throws. */
@@ -164,6 +166,15 @@
     }
   }
 
+  /** A host's connection needs the place of a client that can be spared; false if there is none. */
+  private boolean yieldOne() {
+    ClientConnection c = mostDispensable(listener == null ? LOOKS : Integer.MAX_VALUE);
+    if (c != null) {
+      c.close();
+    }
+    return c != null;
+  }
+
   private void rested() {
     if (listener.isOpen()) {
       listener.config().setAutoRead(true);
@@ -198,6 +209,21 @@
     connections.remove(c);
   }
 
+  /** A request has been given to the engine. */
+  void carries() {
+    carried++;
+  }
+
+  /** Such a request has its answer, or its client has gone. */
+  void carried() {
+    carried--;
+  }
+
+  /** Whether there is a connection to a host to be had for one more. */
+  boolean roomForRequest() {
+    return sockets.roomForRequest(carried);
+  }
+
   /** Takes the id of a request; false if a request that is open has it. */
   boolean openId(String id) {
     return openIds.add(id);
--- a/src/main/java/corkproxy/http/RequestIntake.java
+++ b/src/main/java/corkproxy/http/RequestIntake.java
@@ -231,9 +231,9 @@
     return true;
   }
 
-  /** Whether the pool has as many requests open as it may; one more is refused. */
+  /** Whether the pool has as many requests open as it may, or the process has; one more is refused. */
   private boolean full(Dispatcher pool) {
-    if (pool.open() < front.settings().maxOpen()) {
+    if (pool.open() < front.settings().maxOpen() && front.roomForRequest()) {
       return false;
     }
     front.refusedForSockets();
