Say once why pressure goes by all of the time

Cause: found on reading the change once more; the same sentence stood twice. Result: text only; BalancerTest, RulesTest, ArchitectureTest green.

--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -156,7 +156,6 @@
       case TIMEOUT, RESET, CONNECT_FAILED -> {
         // A host that has answered others since is busy, or lost this one; a silent one is broken.
         if (result == Result.TIMEOUT && !c.streaming) {
-          // Pressure goes by all of the time: this process, too, may be what has no room.
           admission.answered(now, spent + fleet.behind(now), type.rules.aim());
         }
         if (result != Result.TIMEOUT || a.host.lastAnswer <= a.sentAt) {
