Derive the bound over all descriptors from its half

Cause: found on reading the change once more: a field that was always twice another, and a method only to set both. Change: the field and the method go; behaviour is the same.

--- a/src/main/java/corkproxy/engine/Sockets.java
+++ b/src/main/java/corkproxy/engine/Sockets.java
@@ -28,7 +28,6 @@
 
   private final int descriptors;
   private int limit;
-  private int all;
   private BooleanSupplier yields = () -> false;
   private int otherClients;
   private int otherUpstreams;
@@ -43,23 +42,18 @@
 
   /** All descriptors are this process's. */
   public void alone() {
-    limit(descriptors - RESERVED);
+    limit = Math.max(LEAST, (descriptors - RESERVED) / 2);
     otherClients = 0;
     otherUpstreams = 0;
   }
 
   /** Another process goes by the same bound, and holds so many. What is open here stays. */
   public void shared(int clientsThere, int upstreamsThere) {
-    limit(descriptors - 2 * RESERVED);
+    limit = Math.max(LEAST, (descriptors - 2 * RESERVED) / 2);
     otherClients = clientsThere;
     otherUpstreams = upstreamsThere;
   }
 
-  private void limit(int descriptors) {
-    limit = Math.max(LEAST, descriptors / 2);
-    all = 2 * limit;
-  }
-
   /** Who closes the client that makes room most readily, where there is one; false if there is none. */
   public void onWanted(BooleanSupplier closesClient) {
     yields = closesClient;
@@ -68,7 +62,7 @@
   /** What clients may have of all now: half, and what hosts leave of theirs but for a margin. */
   private int clientLimit() {
     int hosts = upstreams + otherUpstreams;
-    return Math.max(limit, all - hosts - Math.max(LEAST, Math.max(hosts, limit) / 4));
+    return Math.max(limit, 2 * limit - hosts - Math.max(LEAST, Math.max(hosts, limit) / 4));
   }
 
   /** Connections of clients that are open. */
@@ -110,7 +104,7 @@
   /** Whether clients hold what hosts need. */
   private boolean lacks() {
     int others = clients + otherClients;
-    return others > limit && others + upstreams + otherUpstreams >= all;
+    return others > limit && others + upstreams + otherUpstreams >= 2 * limit;
   }
 
   /** Whether one more request may be carried, beside so many: each needs a connection to a host. */
