--- a/src/main/java/corkproxy/balancer/Attempts.java
+++ b/src/main/java/corkproxy/balancer/Attempts.java
@@ -110,8 +110,7 @@
       return false;
     }
     Settings.Limits limits = settings.now().limits();
-    if (target != null
-        && (!target.sendable
+    if (target != null && (!target.sendable
             || c.attempts.size() >= Math.min(c.maxAttempts, limits.maxAttempts())
             || (c.open > 0 && !limits.parallelTries())
             || now >= c.deadline)) {
@@ -130,8 +129,7 @@
           || now - a.sentAt >= rules.repeatWindow() - Tuning.WINDOW_MARGIN) {
         return false;
       }
-      boolean sameGroup =
-          switch (rules.scope()) {
+      boolean sameGroup = switch (rules.scope()) {
             case ALL -> true;
             case ZONE -> target != null && a.zone != null && a.zone.equals(target.zone);
             case CELL -> target != null && a.cell == target.cell;
--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -76,9 +76,7 @@
 
   /** A client's request has come. */
   public void onRequest(double now, Arrival arrival) {
-    Attempts.ClassState type =
-        classes.computeIfAbsent(
-            arrival.className(),
+    Attempts.ClassState type = classes.computeIfAbsent(arrival.className(),
             n -> new Attempts.ClassState(Settings.RequestClass.unknown(n, arrival.budget()), null));
     Attempts.Call c = new Attempts.Call(arrival.id(), type, now, arrival.budget(), settings.now().limits());
     admission.arrived(now, type.rules, arrival.tenant());
@@ -133,6 +131,7 @@
     switch (result) {
       case OK -> {
         health.succeeded(a.host, now);
+        health.tried(a.host, type, now, true);
         if (!c.streaming) {
           double mean = type.meanAnswer;
           type.answered(spent);
@@ -145,9 +144,9 @@
       case ERROR -> health.failed(a.host, now, true);
       case FULL -> {
         // Guards against a jam that spreads: a full host is busy, not broken, and counts as the
-        // worst pressure. One that turns work away with room to spare is leaving.
+        // worst pressure. One with room to spare limits the class, or is leaving.
         if (fleet.idle(a.host, now)) {
-          health.failed(a.host, now, true);
+          health.closed(a.host, type, now);
         } else {
           health.crowded(a.host, now);
           admission.answered(now, 2 * type.rules.aim(), type.rules.aim());
@@ -155,7 +154,8 @@
       }
       case TIMEOUT, RESET, CONNECT_FAILED -> {
         // A host that has answered others since is busy, or lost this one; a silent one is broken.
-        if (result == Result.TIMEOUT && !c.streaming) {
+        // Guards against answers lost on the way that look like a jam: a host with room had none.
+        if (result == Result.TIMEOUT && !c.streaming && !fleet.idle(a.host, now)) {
           admission.answered(now, spent + fleet.behind(now), type.rules.aim());
         }
         if (result != Result.TIMEOUT || a.host.lastAnswer <= a.sentAt) {
@@ -176,9 +176,7 @@
     if (c.open > 0) {
       return; // another attempt may still answer
     }
-    if (now < c.deadline - Tuning.LAST_SEND
-        && !admission.jammed(now)
-        && attempts.takeRetry()) {
+    if (now < c.deadline - Tuning.LAST_SEND && !admission.jammed(now) && attempts.takeRetry()) {
       dispatch(c, now);
     } else {
       conclude(c, now);
@@ -188,22 +186,20 @@
   /** The answer to a streamed request has begun; the attempt now belongs to the client. */
   public void onFirstByte(double now, long request, int number, double spent) {
     Attempts.Call c = calls.get(request);
-    if (c == null || c.ended || number < 0 || number >= c.attempts.size()) {
+    if (c == null || c.ended || c.streaming || number < 0 || number >= c.attempts.size()) {
       return;
     }
     Attempts.Attempt a = c.attempts.get(number);
-    if (!c.streaming) {
-      // Guards against slow readers of long answers that look like busy hosts: the work is done.
-      if (c.type.rules.streamed()) {
-        attempts.streams(a);
-      } else {
-        admission.inFlight(now, -attempts.leave(a));
-      }
-      learn(a, Result.OK, now, atHost(spent, now), c);
-      c.streaming = true;
-      c.answering = a;
-      cancelOthers(c, number);
+    // Guards against slow readers of long answers that look like busy hosts: the work is done.
+    if (c.type.rules.streamed()) {
+      attempts.streams(a);
+    } else {
+      admission.inFlight(now, -attempts.leave(a));
     }
+    learn(a, Result.OK, now, atHost(spent, now), c);
+    c.streaming = true;
+    c.answering = a;
+    cancelOthers(c, number);
   }
 
   /** The client has gone; attempts that are out still get their outcome. */
@@ -218,10 +214,7 @@
 
   /** A host has told its load outside of an attempt. */
   public void onReport(double now, long host, LoadReport load) {
-    Fleet.Host h = fleet.get(host);
-    if (h != null) {
-      fleet.reported(h, now, load);
-    }
+    fleet.reported(fleet.get(host), now, load);
   }
 
   /** A timer has come due. */
@@ -244,8 +237,7 @@
   private void overdue(Attempts.Call c, double now) {
     // Guards against copies of costly requests feeding a jam: only silence earns a second copy.
     Attempts.Attempt last = c.attempts.get(c.attempts.size() - 1);
-    if (now >= c.deadline - Tuning.LAST_SEND
-        || admission.pressure(now) > Tuning.REFUSE_FROM
+    if (now >= c.deadline - Tuning.LAST_SEND || admission.pressure(now) > Tuning.REFUSE_FROM
         || !health.silent(last.host, now, 0.99 * c.type.overdueAfter())) {
       return;
     }
@@ -274,6 +266,7 @@
     attempts.start(c, h, now);
     fleet.notePeak(h, now);
     health.waits(h, now, false);
+    health.tried(h, c.type, now, false);
     admission.inFlight(now, 1);
     actions.send(c.id, h.id, 0);
     double due = c.type.overdueAfter() * Math.max(1, fleet.slowness(h, now));
--- a/src/main/java/corkproxy/balancer/Draw.java
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -17,6 +17,7 @@
   private Fleet.Host[] remote = {};
   private final List<Fleet.Host> drawn = new ArrayList<>();
   private int size;
+  private int changes = -1;
   private Fleet.Host best;
   private double bestCount;
   private double bestWait;
@@ -43,13 +44,12 @@
     double most = Tuning.HOST_PROXIES * fleet.ready().size() / settings.now().balancers();
     double own = Tuning.BASE_POOL + Tuning.POOL_PER_IN_FLIGHT * admission.peak(now);
     int wanted = (int) Math.max(Tuning.CHOICES, Math.min(own, most));
-    if (fleet.takeChanged() || wanted > size || wanted < size / 2) {
+    if (changes != fleet.changes || wanted > size || wanted < size / 2) {
       rebuild(wanted);
     }
     drawn.clear();
     // Other zones are drawn from too once answers near here take a good part of the aim.
-    if (!draw(local, c, now)
-        && (drawn.isEmpty() || admission.pressure(now) > Tuning.SPILL_FROM)) {
+    if (!draw(local, c, now) && (drawn.isEmpty() || admission.pressure(now) > Tuning.SPILL_FROM)) {
       draw(remote, c, now);
     }
     return drawn;
@@ -97,7 +97,7 @@
       if (drawn.contains(h) || !usable(h, c, now)) {
         continue;
       }
-      if (h.halfOpen && c.type.repeatable()) {
+      if (h.ejected.trial && c.type.repeatable()) {
         drawn.clear(); // a trial: an ejected host that nobody draws would stay out for ever
         drawn.add(h);
         return true;
@@ -109,9 +109,9 @@
   }
 
   private boolean usable(Fleet.Host h, Attempts.Call c, double now) {
-    return attempts.allowed(c, h, now)
-        && (c.attempts.isEmpty() || !c.tried(h))
+    return attempts.allowed(c, h, now) && (c.attempts.isEmpty() || !c.tried(h))
         && health.available(h, now, c.type.silentAfter())
+        && health.takes(h, c.type, now)
         && (fleet.warmth(h, now) >= 1 || credit(h, now));
   }
 
@@ -175,6 +175,7 @@
 
   private void rebuild(int wanted) {
     size = wanted;
+    changes = fleet.changes;
     List<Fleet.Host> all = fleet.ready();
     Predicate<Fleet.Host> near = h -> settings.now().zone() == null || settings.now().zone().equals(h.zone);
     local = window(all.stream().filter(near).toArray(Fleet.Host[]::new), wanted);
--- a/src/main/java/corkproxy/balancer/Fleet.java
+++ b/src/main/java/corkproxy/balancer/Fleet.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 
 /** The host view: membership, drain state, own requests in flight, latency and load figures. */
 final class Fleet {
@@ -14,7 +15,6 @@
     String zone;
     String kind;
     long cell;
-    boolean listed;
     boolean sendable;
     double onlineSince;
     int listMark;
@@ -33,13 +33,10 @@
     double ownPeakAt;
 
     double failShare;
-    int failuresInRow;
     double charge;
     double chargeAt;
-    int ejections;
-    double lastEjection = Double.NEGATIVE_INFINITY;
-    double ejectedUntil;
-    boolean halfOpen;
+    final Backoff ejected = new Backoff();
+    final Map<String, Backoff> closed = new HashMap<>(2);
 
     double coldCredit;
     double coldCreditAt;
@@ -57,6 +54,23 @@
     }
   }
 
+  /** Time out of the draw, longer each time that it comes again, then trials until one is answered. */
+  static final class Backoff {
+    private int times;
+    private double last = Double.NEGATIVE_INFINITY;
+    double until;
+    boolean trial;
+
+    /** Begins it; spread, so that many proxies do not try the host again in the same moment. */
+    void begin(double now, double pace, double most, SplittableRandom random) {
+      times = now - last > pace * Tuning.EJECT_FORGET ? 0 : times;
+      double length = pace * Math.min(most, Tuning.EJECT_BASE * Math.pow(2, times++));
+      last = now;
+      until = now + length * (0.75 + 0.5 * random.nextDouble());
+      trial = true;
+    }
+  }
+
   /** Speed of a kind of machine, the prior for hosts with few answers of their own. */
   private static final class KindSpeed {
     double slowness = 1;
@@ -72,7 +86,8 @@
   private int mark;
   private double meanOthers;
   private boolean anyReport;
-  private boolean changed = true;
+  /** Grows each time that the set of ready hosts changes. */
+  int changes;
   double heard = Double.POSITIVE_INFINITY;
 
   Fleet(LiveSettings settings) {
@@ -97,14 +112,7 @@
     return ready;
   }
 
-  /** Whether the set of ready hosts has changed since this was last asked. */
-  boolean takeChanged() {
-    boolean was = changed;
-    changed = false;
-    return was;
-  }
-
-  void apply(double now, News kind, List<HostEntry> entries, java.util.SplittableRandom random) {
+  void apply(double now, News kind, List<HostEntry> entries, SplittableRandom random) {
     if (kind == News.FAILED) {
       return;
     }
@@ -112,7 +120,7 @@
     boolean different = false;
     for (HostEntry e : entries) {
       if (e.condition() == HostEntry.Condition.GONE) {
-        different |= byId.containsKey(e.id()) && forget(byId.remove(e.id()));
+        different |= byId.remove(e.id()) != null;
         continue;
       }
       Host h = byId.computeIfAbsent(e.id(), Host::new);
@@ -129,26 +137,20 @@
       h.sendable = sendable;
     }
     if (kind != News.DELTA) {
-      different |= byId.values().removeIf(h -> h.listMark != mark && forget(h));
+      different |= byId.values().removeIf(h -> h.listMark != mark);
     }
     if (different) {
       rebuild();
     }
   }
 
-  /** Guards against memory that grows with churn, and an id used anew that inherits a record. */
-  private static boolean forget(Host h) {
-    h.sendable = false;
-    return true;
-  }
-
-  private void restarted(Host h, double now, java.util.SplittableRandom random) {
+  private void restarted(Host h, double now, SplittableRandom random) {
     // A new process owes nothing to what the old one did; its credit starts at chance, so that
     // many proxies told at once do not all send at once.
     h.failShare = 0;
-    h.failuresInRow = 0;
-    h.ejectedUntil = 0;
-    h.halfOpen = false;
+    h.ejected.until = 0;
+    h.ejected.trial = false;
+    h.closed.clear();
     h.charge = 0;
     h.others = 0;
     h.waitsSince = Double.POSITIVE_INFINITY;
@@ -161,7 +163,7 @@
     ready.clear();
     byId.values().stream().filter(h -> h.sendable).forEach(ready::add);
     ready.sort((a, b) -> a.ring != b.ring ? Long.compare(a.ring, b.ring) : Long.compare(a.id, b.id));
-    changed = true;
+    changes++;
   }
 
   /** The least part of its capacity that a host has now: 1 when warm. */
@@ -235,7 +237,7 @@
 
   /** Guards against a jam that is taken for broken hosts: the few left would get all the load. */
   boolean spares(double now) {
-    return 1 + ready.stream().filter(h -> now < h.ejectedUntil).count()
+    return 1 + ready.stream().filter(h -> now < h.ejected.until).count()
         <= Math.max(1, Tuning.MOST_EJECTED * ready.size());
   }
 
@@ -245,7 +247,7 @@
    * and go with us. No single report counts for far more than hosts are known to hold.
    */
   void reported(Host h, double now, LoadReport report) {
-    if (report == null || Double.isNaN(report.held())) {
+    if (h == null || report == null || Double.isNaN(report.held())) {
       return;
     }
     double most = Tuning.PLAUSIBLE * (meanOthers + Tuning.QUEUE_SEEN);
--- a/src/main/java/corkproxy/balancer/Health.java
+++ b/src/main/java/corkproxy/balancer/Health.java
@@ -16,10 +16,10 @@
 
   /** Whether the host may be a candidate; half-open hosts get one request at a time. */
   boolean available(Fleet.Host h, double now, double overdue) {
-    if (now < h.ejectedUntil) {
+    if (now < h.ejected.until) {
       return false;
     }
-    if (h.halfOpen) {
+    if (h.ejected.trial) {
       return h.inFlight == 0;
     }
     return !silent(h, now, overdue);
@@ -57,9 +57,8 @@
 
   void succeeded(Fleet.Host h, double now) {
     waits(h, now, true);
-    h.failuresInRow = 0;
     h.failShare -= Tuning.FAILURE_ALPHA * h.failShare;
-    if (h.halfOpen) {
+    if (h.ejected.trial) {
       h.failShare = 0;
       readmit(h);
     }
@@ -69,14 +68,10 @@
     if (answered) {
       waits(h, now, true);
     }
-    h.failuresInRow++;
     h.failShare += Tuning.FAILURE_ALPHA * (1 - h.failShare);
     h.charge = charge(h, now) + Tuning.FAILURE_CHARGE;
     h.chargeAt = now;
-    if (now >= h.ejectedUntil
-        && (h.halfOpen
-            || h.failuresInRow >= Tuning.FAILURES_IN_A_ROW
-            || h.failShare >= Tuning.FAILURE_SHARE)
+    if (now >= h.ejected.until && (h.ejected.trial || h.failShare >= Tuning.FAILURE_SHARE)
         && fleet.spares(now)) {
       eject(h, now);
     }
@@ -87,28 +82,45 @@
     waits(h, now, true);
     h.charge = charge(h, now) + Tuning.FAILURE_CHARGE;
     h.chargeAt = now;
-    if (h.halfOpen) {
+    if (h.ejected.trial) {
       readmit(h);
     }
   }
 
+  /**
+   * The host turned work of a class away with room to spare. Guards against hosts that limit a class, or are leaving:
+   * without it they lose the classes that they take as well, and the others are pushed over. It can hurt where a
+   * host is full for a moment between two reports: its class waits for a trial.
+   */
+  void closed(Fleet.Host h, Attempts.ClassState type, double now) {
+    waits(h, now, true);
+    h.closed.computeIfAbsent(type.rules.name(), x -> new Fleet.Backoff())
+        .begin(now, fleet.pace(), Tuning.CLOSED_MAX, random);
+  }
+
+  /** Whether the host may be tried with the class: not while that is closed there, then once in an aim. */
+  boolean takes(Fleet.Host h, Attempts.ClassState type, double now) {
+    return !h.closed.containsKey(type.rules.name()) || now >= h.closed.get(type.rules.name()).until;
+  }
+
+  /** A request of the class goes to the host, or, {@code served}, has been answered there. */
+  void tried(Fleet.Host h, Attempts.ClassState type, double now, boolean served) {
+    Fleet.Backoff b = h.closed.get(type.rules.name());
+    if (b != null && b.trial) {
+      b.trial = !served;
+      b.until = served ? now : now + type.rules.aim();
+    }
+  }
+
   private void readmit(Fleet.Host h) {
-    h.halfOpen = false;
+    h.ejected.trial = false;
     actions.log("host " + h.id + " readmitted");
   }
 
   private void eject(Fleet.Host h, double now) {
-    if (now - h.lastEjection > fleet.pace() * Tuning.EJECT_FORGET) {
-      h.ejections = 0;
-    }
-    double length = fleet.pace() * Math.min(Tuning.EJECT_MAX, Tuning.EJECT_BASE * Math.pow(2, h.ejections));
-    h.ejections++;
-    h.lastEjection = now;
-    // Spread, so that many proxies do not try the host again in the same moment.
-    h.ejectedUntil = now + length * (0.75 + 0.5 * random.nextDouble());
-    if (!h.halfOpen) {
+    if (!h.ejected.trial) {
       actions.log("host " + h.id + " ejected");
     }
-    h.halfOpen = true;
+    h.ejected.begin(now, fleet.pace(), Tuning.EJECT_MAX, random);
   }
 }
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -43,14 +43,11 @@
   /** Silence shorter than this (ms) is never held against a host: pauses and jitter. */
   static final double SILENCE_FLOOR = 40;
 
-  /** Failures in a row that eject a host. */
-  static final int FAILURES_IN_A_ROW = 3;
-
   /** Part of the hosts that may be ejected at once: about what has been seen broken together. */
   static final double MOST_EJECTED = 0.4;
 
-  /** Share of failures (smoothed) that ejects a host. */
-  static final double FAILURE_SHARE = 0.5;
+  /** Share of failures (smoothed) that ejects a host: three in a row, or half of the last few. */
+  static final double FAILURE_SHARE = 0.48;
 
   /** Smoothing of the failure share: about the last five outcomes. */
   static final double FAILURE_ALPHA = 0.2;
@@ -60,6 +57,9 @@
 
   static final double EJECT_MAX = 20;
 
+  /** The longest (in aims) that a host is left out for one class; a trial there costs little. */
+  static final double CLOSED_MAX = 5;
+
   /** After this time (in aims) without an ejection the back-off starts anew. */
   static final double EJECT_FORGET = 75;
 
--- a/src/test/java/corkproxy/balancer/BalancerTest.java
+++ b/src/test/java/corkproxy/balancer/BalancerTest.java
@@ -383,6 +383,77 @@
     assertThat(bench.refused).isEmpty();
   }
 
+  /** Half the hosts limit one class: it goes elsewhere within a few attempts, the other goes on there. */
+  @Test
+  void aHostThatLimitsAClassKeepsTheOthers() {
+    String limited = "limited";
+    Balancer b =
+        balancer(
+            Bench.settings(
+                Bench.type(limited, Semantics.AT_MOST_ONCE, Scope.ALL),
+                Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL)),
+            List.of(Bench.host(0), Bench.host(1), Bench.host(2), Bench.host(3)));
+    int turned = 0;
+    int others = 0;
+    for (int i = 0; i < 1_000; i++) {
+      bench.now += 10;
+      b.onRequest(bench.now, Bench.request(i, i % 2 == 0 ? limited : SAFE, 800));
+      for (int k = 0; k < 4 && bench.last().request() == i && bench.last().number() == k; k++) {
+        boolean limits = i % 2 == 0 && bench.last().host() < 2;
+        turned += limits ? 1 : 0;
+        others += i % 2 == 1 && bench.last().host() < 2 ? 1 : 0;
+        bench.now += 5;
+        b.onOutcome(bench.now, i, k, limits ? Result.FULL : Result.OK, 5, !limits, load(1));
+      }
+    }
+    assertThat(bench.refused).isEmpty();
+    assertThat(turned).isLessThan(40);
+    assertThat(others).isBetween(150, 350);
+  }
+
+  /** The limit is gone: after one trial that is served the host has its whole part of the class again. */
+  @Test
+  void aHostThatTakesAClassAgainGetsItsPart() {
+    Balancer b = safe(2);
+    int turned = 0;
+    int served = 0;
+    for (int i = 0; i < 1_000; i++) {
+      bench.now += 20;
+      boolean limits = bench.now < 6_000;
+      long host = request(b, i);
+      boolean full = limits && host == 0;
+      turned += full ? 1 : 0;
+      served += bench.now > 12_000 && host == 0 ? 1 : 0;
+      b.onOutcome(bench.now, i, 0, full ? Result.FULL : Result.OK, 5, !full, load(1));
+      if (full) {
+        b.onOutcome(bench.now, i, 1, Result.OK, 5, true, load(1));
+      }
+    }
+    assertThat(turned).isBetween(2, 12);
+    assertThat(served).isBetween(150, 310);
+  }
+
+  /** Answers that get lost on the way, from hosts that tell of room, are no jam: nothing is refused for them. */
+  @Test
+  void anAnswerLostOnTheWayIsNoJam() {
+    Balancer b = safe(4);
+    double[] lost = new double[4];
+    for (int i = 0; i < 600; i++) {
+      bench.now += 10;
+      int host = (int) request(b, i);
+      if (i % 3 == 0 && lost[host] == 0) {
+        lost[host] = i + 1;
+      } else {
+        b.onOutcome(bench.now, i, 0, Result.OK, 100, true, load(1));
+        if (lost[host] > 0) {
+          b.onOutcome(bench.now, (long) lost[host] - 1, 0, Result.TIMEOUT, 800, true, null);
+          lost[host] = 0;
+        }
+      }
+    }
+    assertThat(bench.refused).isEmpty();
+  }
+
   /** Time-outs beside answers tell of a queue, or of requests that got lost, not of a broken host. */
   @Test
   void aHostThatAnswersOthersIsNotEjectedForTimeOuts() {
