Let cold hosts have half of what the rule allows; a time-out closes only a host that stays silent

A time-out closed a host for its class also where it had answered others since; at 40 requests a second to each of six hosts 1% of time-outs left a class out somewhere most of the time. Change: only where nothing has come since the send.

The log names server and class when one is closed.

--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -160,9 +160,9 @@
         }
         if (result != Result.TIMEOUT || a.host.lastAnswer <= a.sentAt) {
           health.failed(a.host, now, false);
-        }
-        if (result == Result.TIMEOUT && fleet.roomy(a.host, now)) {
-          health.closed(a.host, type, now);
+          if (result == Result.TIMEOUT && fleet.roomy(a.host, now)) {
+            health.closed(a.host, type, now);
+          }
         }
       }
       case CANCELLED -> {
--- a/src/main/java/corkproxy/balancer/Fleet.java
+++ b/src/main/java/corkproxy/balancer/Fleet.java
@@ -263,7 +263,7 @@
   double expectedWait(Host h, double now, boolean thrifty) {
     double slow = slowness(h, now);
     // A new connection costs the host work, and a place of which it has few: as a request more would.
-    int opens = thrifty && (h.working() > 0 || now - h.lastAnswer >= Settings.KEEP_IDLE * settings.pace()) ? 1 : 0;
+    int opens = thrifty && (h.working() > 0 || now - h.lastAnswer >= settings.keepIdle()) ? 1 : 0;
     return anyReport ? slow * (Tuning.REPORT_BASE + held(h, now) + opens) : slow;
   }
 }
--- a/src/main/java/corkproxy/balancer/Health.java
+++ b/src/main/java/corkproxy/balancer/Health.java
@@ -92,8 +92,11 @@
    * or lose one class: without it they lose those that they serve as well, and the others are pushed over.
    */
   void closed(Fleet.Host h, Attempts.ClassState type, double now) {
-    h.closed.computeIfAbsent(type.rules.name(), x -> new Fleet.Backoff())
-        .begin(now, fleet.settings.pace(), Tuning.CLOSED_MAX, random);
+    Fleet.Backoff b = h.closed.computeIfAbsent(type.rules.name(), x -> new Fleet.Backoff());
+    if (!b.trial) {
+      actions.log("host " + h.id + " closed to " + type.rules.name());
+    }
+    b.begin(now, fleet.settings.pace(), Tuning.CLOSED_MAX, random);
   }
 
   /** Whether the host may be tried with the class: not while that is closed there, then once in an aim. */
--- a/src/main/java/corkproxy/balancer/LiveSettings.java
+++ b/src/main/java/corkproxy/balancer/LiveSettings.java
@@ -4,6 +4,7 @@
 final class LiveSettings {
   private Settings now;
   private double pace;
+  private double keepIdle;
 
   LiveSettings(Settings first) {
     set(first);
@@ -12,6 +13,7 @@
   void set(Settings next) {
     now = next;
     pace = next.pace();
+    keepIdle = next.keepIdle(Double.POSITIVE_INFINITY);
   }
 
   Settings now() {
@@ -22,4 +24,9 @@
   double pace() {
     return pace;
   }
+
+  /** {@link Settings#keepIdle} of those in force. */
+  double keepIdle() {
+    return keepIdle;
+  }
 }
--- a/src/main/java/corkproxy/balancer/Settings.java
+++ b/src/main/java/corkproxy/balancer/Settings.java
@@ -37,11 +37,14 @@
   }
 
   /** How long (in aims) a connection that carries nothing is worth the place that it takes up at a host. */
-  static final double KEEP_IDLE = 2;
+  private static final double KEEP_IDLE = 2;
+
+  /** And at the least (ms): where aims are shorter, peaks come and go within it, and each would cost handshakes. */
+  private static final double KEEP_IDLE_LEAST = 1_000;
 
   /** How long (ms) a connection to a host is kept that carries nothing: {@code most} where that is less. */
   public double keepIdle(double most) {
-    return Math.min(most, KEEP_IDLE * pace());
+    return Math.min(most, Math.max(KEEP_IDLE_LEAST, KEEP_IDLE * pace()));
   }
 
   /** The shortest aim: the pace of the deployment, by which the module's times are measured. */
--- a/src/main/java/corkproxy/balancer/Tuning.java
+++ b/src/main/java/corkproxy/balancer/Tuning.java
@@ -73,7 +73,7 @@
   static final double CHARGE_FADE = 5;
 
   /** Part of the fall multiple that all proxies together may use on a cold host. */
-  static final double COLD_SHARE = 0.3;
+  static final double COLD_SHARE = 0.5;
 
   /** The least part taken to be served: or a cold fleet that fails once would never be tried. */
   static final double LEAST_SERVED = 0.05;
--- /dev/null
+++ b/src/test/java/corkproxy/bench/FleetModel.java
@@ -0,0 +1,478 @@
+package corkproxy.bench;
+
+import corkproxy.balancer.Actions;
+import corkproxy.balancer.Arrival;
+import corkproxy.balancer.Balancer;
+import corkproxy.balancer.HostEntry;
+import corkproxy.balancer.LoadReport;
+import corkproxy.balancer.News;
+import corkproxy.balancer.Result;
+import corkproxy.balancer.Settings;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/**
+ * Many real modules before modelled hosts, in one thread and in virtual time: what each does alone, added up over
+ * the fleet. A host has three cores, a queue, a table of connections that takes of its capacity as it fills, and warms
+ * up after its start. A proxy keeps an idle connection as long as the platform's does. Times are ms.
+ *
+ * <pre>
+ *   arrival -> module -> (connect) -> host: queue, work -> answer with report -> module
+ * </pre>
+ */
+public final class FleetModel {
+  public static final String CLAIM = "claim";
+  public static final String LOG = "log";
+  private static final double AIM = 500;
+  private static final double DEADLINE = 1_000;
+
+  /** A client gives up, and asks again, after so much of its time. */
+  private static final double TRY_PART = 0.55;
+
+  private static final int TRIES = 4;
+  private static final double WORK = 120;
+  private static final double HANDSHAKE_WORK = 4;
+  private static final double TRIP = 1;
+  private static final double COLD = 8_700;
+  private static final double COLD_FROM = 0.3;
+  private static final double FALL = 1_500;
+  private static final double FALL_MULTIPLE = 3;
+
+  /** What a run is to have. */
+  public record Plan(
+      int proxies, int hosts, double load, int connections, double tax, double keepIdle, long seed) {
+    /** The part of all, a table of 20 connections that takes 0.4 when full, and the platform's idle time. */
+    public static Plan of(int proxies, int hosts, double load, long seed) {
+      return new Plan(proxies, hosts, load, 20, 0.4, settings(proxies, 0).keepIdle(60_000), seed);
+    }
+  }
+
+  private record Event(double at, long order, Runnable what) {}
+
+  /** A host of the model. */
+  public final class Host {
+    final long id;
+    final double since;
+    final ArrayDeque<Job> queue = new ArrayDeque<>();
+    final List<Double> sent = new ArrayList<>();
+    int running;
+    int connections;
+    public int mostConnections;
+    public int sends;
+    boolean gone;
+
+    /** The class that it turns away, or null. */
+    public String limits;
+
+    /** The share of its answers that get lost on the way. */
+    public double loses;
+
+    Host(long id, double since) {
+      this.id = id;
+      this.since = since;
+    }
+
+    double warmth() {
+      return since <= 0 ? 1 : Math.min(1, COLD_FROM + (1 - COLD_FROM) * (now - since) / COLD);
+    }
+
+    double speed() {
+      return warmth() * (1 - plan.tax * Math.min(1, (double) connections / plan.connections));
+    }
+
+    void take(Job job) {
+      queue.add(job);
+      run();
+    }
+
+    private void run() {
+      while (running < 3 && !queue.isEmpty()) {
+        Job j = queue.poll();
+        if (j.over) {
+          continue;
+        }
+        running++;
+        at(
+            j.work / speed(),
+            () -> {
+              running--;
+              j.done();
+              run();
+            });
+      }
+    }
+
+    private HostEntry entry() {
+      HostEntry.Condition c = gone ? HostEntry.Condition.TERMINATING : HostEntry.Condition.READY;
+      return new HostEntry(id, "a", "k", id / 6, c, 1, since);
+    }
+  }
+
+  /** One attempt at a host. */
+  private final class Job {
+    final Proxy proxy;
+    final Host host;
+    final long request;
+    final int number;
+    final String type;
+    final double sentAt;
+    double work;
+    boolean over;
+
+    Job(Proxy proxy, Host host, long request, int number, String type) {
+      this.proxy = proxy;
+      this.host = host;
+      this.request = request;
+      this.number = number;
+      this.type = type;
+      this.sentAt = now;
+      this.work = WORK * (0.4 + 1.2 * random.nextDouble());
+    }
+
+    void done() {
+      if (!over && random.nextDouble() < host.loses) {
+        lost++;
+        return;
+      }
+      end(Result.OK, true, true);
+    }
+
+    /** Ends the attempt; {@code keep} tells that its connection may carry another. */
+    void end(Result result, boolean served, boolean keep) {
+      if (over) {
+        return;
+      }
+      over = true;
+      proxy.release(host, keep);
+      LoadReport load =
+          result == Result.OK || result == Result.FULL
+              ? new LoadReport(host.running + host.queue.size(), Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN)
+              : null;
+      proxy.outcome(this, result, served, load);
+    }
+  }
+
+  private final class Proxy implements Actions {
+    final Balancer module;
+    final Map<Long, Integer> attempts = new HashMap<>();
+    final Map<Long, Job> open = new HashMap<>();
+    final Map<Long, Ask> asks = new HashMap<>();
+    final Map<Host, ArrayDeque<Double>> idle = new HashMap<>();
+    long next;
+
+    Proxy(int position) {
+      module = new Balancer(settings(plan.proxies, position), plan.seed * 31 + position, this);
+    }
+
+    void ask(Ask a) {
+      long id = next++;
+      asks.put(id, a);
+      a.tries++;
+      module.onRequest(now, new Arrival(id, a.type, null, TRY_PART * DEADLINE, Double.NaN, false));
+      at(TRY_PART * DEADLINE, () -> giveUp(id));
+    }
+
+    private void giveUp(long id) {
+      if (asks.containsKey(id)) {
+        Job j = open.get(id);
+        if (j != null) {
+          j.end(Result.TIMEOUT, true, false);
+        } else {
+          module.onClientGone(now, id);
+          answered(id, false);
+        }
+      }
+    }
+
+    private void answered(long id, boolean served) {
+      Ask a = asks.remove(id);
+      if (a == null) {
+        return;
+      }
+      if (served) {
+        inTime += now - a.at <= AIM ? 1 : 0;
+      } else if (a.tries < TRIES) {
+        at(20, () -> ask(a));
+      }
+    }
+
+    void outcome(Job j, Result result, boolean over, LoadReport load) {
+      open.remove(j.request, j);
+      module.onOutcome(now, j.request, j.number, result, now - j.sentAt, over, load);
+      if (over) {
+        answered(j.request, result == Result.OK);
+      }
+    }
+
+    void release(Host host, boolean keep) {
+      if (!keep) {
+        host.connections--;
+        return;
+      }
+      ArrayDeque<Double> rests = idle.computeIfAbsent(host, x -> new ArrayDeque<>());
+      rests.addLast(now);
+      at(
+          plan.keepIdle,
+          () -> {
+            if (!rests.isEmpty() && rests.peekFirst() <= now - plan.keepIdle) {
+              rests.pollFirst();
+              host.connections--;
+            }
+          });
+    }
+
+    @Override
+    public void send(long request, long id, double giveUpAfter) {
+      Host host = byId.get(id);
+      Job j = new Job(this, host, request, attempts.merge(request, 1, Integer::sum) - 1, asks.get(request).type);
+      open.put(request, j);
+      sends++;
+      host.sends++;
+      host.sent.add(now);
+      ArrayDeque<Double> rests = idle.get(host);
+      boolean connects = rests == null || rests.pollLast() == null;
+      if (connects) {
+        handshakes++;
+        if (host.connections >= plan.connections) {
+          tableFull++;
+          host.connections++; // for as long as it takes to be turned away
+          at(2 * TRIP, () -> j.end(Result.FULL, false, false));
+          return;
+        }
+        host.connections++;
+        host.mostConnections = Math.max(host.mostConnections, host.connections);
+        j.work += HANDSHAKE_WORK;
+      }
+      if (j.type.equals(host.limits)) {
+        turnedAway++;
+        at(2 * TRIP, () -> j.end(Result.FULL, false, true));
+      } else {
+        at(TRIP, () -> host.take(j));
+      }
+    }
+
+    @Override
+    public void refuse(long request, double coolDown) {
+      refused++;
+      at(0, () -> answered(request, false));
+    }
+
+    @Override
+    public void fail(long request) {
+      at(0, () -> answered(request, false));
+    }
+
+    @Override
+    public void cancel(long request, int attempt) {
+      Job j = open.get(request);
+      if (j != null && j.number == attempt) {
+        at(0, () -> j.end(Result.CANCELLED, false, false));
+      }
+    }
+
+    @Override
+    public void schedule(double delay, long token) {
+      at(delay, () -> module.onTimer(now, token));
+    }
+
+    @Override
+    public void follow() {}
+
+    @Override
+    public void log(String line) {}
+  }
+
+  /** What a client wants, over all of its tries. */
+  private static final class Ask {
+    final String type;
+    final double at;
+    int tries;
+
+    Ask(String type, double at) {
+      this.type = type;
+      this.at = at;
+    }
+  }
+
+  private final Plan plan;
+  private final Random random;
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>((a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
+  private final List<Proxy> proxies = new ArrayList<>();
+  private final Map<Long, Host> byId = new HashMap<>();
+  public final List<Host> hosts = new ArrayList<>();
+  private double now = 1_000;
+  private long order;
+  private long nextHost;
+  public long asked;
+  public long inTime;
+  public long sends;
+  public long handshakes;
+  public long refused;
+  public long turnedAway;
+  public long lost;
+
+  /** New connections that hosts turned away, as their tables were full. */
+  public long tableFull;
+
+  /** All proxies at once, before hosts that are warm. */
+  public FleetModel(Plan plan) {
+    this.plan = plan;
+    this.random = new Random(plan.seed);
+    for (int i = 0; i < plan.hosts; i++) {
+      add(0);
+    }
+    List<HostEntry> entries = hosts.stream().map(Host::entry).toList();
+    for (int i = 0; i < plan.proxies; i++) {
+      Proxy p = new Proxy(i);
+      proxies.add(p);
+      p.module.onStart(now);
+      p.module.onMembership(now, News.CACHED, entries);
+    }
+    arrive();
+  }
+
+  private static Settings settings(int proxies, int position) {
+    return new Settings(
+        List.of(
+            new Settings.RequestClass(
+                CLAIM, AIM, DEADLINE, Settings.Semantics.AT_MOST_ONCE, Settings.Scope.ALL, 0, 8, 0, false),
+            new Settings.RequestClass(
+                LOG, AIM, DEADLINE, Settings.Semantics.DEDUPLICATED, Settings.Scope.CELL, 750, 5, 0, false)),
+        List.of(),
+        new Settings.Limits(true, true, true, 6, 1_200, 1),
+        new Settings.Rules(COLD, COLD_FROM, FALL, FALL_MULTIPLE, 6_000),
+        false, null, position, proxies, 1, false);
+  }
+
+  private Host add(double since) {
+    long id = ++nextHost * 0x9E3779B97F4AL;
+    Host h = new Host(id, since);
+    hosts.add(h);
+    byId.put(h.id, h);
+    return h;
+  }
+
+  /** Does something after so long, within {@link #run}. */
+  public void at(double delay, Runnable what) {
+    events.add(new Event(now + delay, order++, what));
+  }
+
+  /** Requests arrive by chance, at one rate for the fleet; a proxy's part is between a third and three times the mean. */
+  private void arrive() {
+    double perMs = plan.load * plan.hosts * 3 / WORK;
+    at(
+        -Math.log(1 - random.nextDouble()) / perMs,
+        () -> {
+          int p = (int) (proxies.size() * Math.pow(random.nextDouble(), 1.6));
+          asked++;
+          proxies.get(p).ask(new Ask(random.nextInt(10) < 7 ? CLAIM : LOG, now));
+          arrive();
+        });
+  }
+
+  /** Lets so much time pass. */
+  public void run(double time) {
+    double until = now + time;
+    while (!events.isEmpty() && events.peek().at <= until) {
+      Event e = events.poll();
+      now = e.at;
+      e.what.run();
+    }
+    now = until;
+  }
+
+  /** Forgets what was counted so far. */
+  public void count() {
+    asked = inTime = sends = handshakes = refused = turnedAway = lost = tableFull = 0;
+    for (Host h : hosts) {
+      h.mostConnections = h.connections;
+      h.sends = 0;
+    }
+  }
+
+  /** Puts a new, cold host in the place of one; each proxy hears of both within {@code late} ms. */
+  public void replace(Host old, double late) {
+    Host h = add(now);
+    old.gone = true;
+    hosts.remove(old);
+    List<HostEntry> news = List.of(old.entry(), h.entry());
+    for (Proxy p : proxies) {
+      at(late * random.nextDouble(), () -> p.module.onMembership(now, News.DELTA, news));
+    }
+  }
+
+  /** Connections that are open now at a host, on the mean. */
+  public double meanConnections() {
+    return hosts.stream().mapToInt(h -> h.connections).average().orElse(0);
+  }
+
+  /** The most connections that a host has had since it was last counted. */
+  public int mostConnections() {
+    return hosts.stream().mapToInt(h -> h.mostConnections).max().orElse(0);
+  }
+
+  /** Requests in time, over those asked. */
+  public double served() {
+    return (double) inTime / asked;
+  }
+
+  /** The worst of all cold hosts and windows: work sent, over the multiple of capacity that the rule allows. */
+  public double coldBudgetUsed() {
+    double worst = 0;
+    for (Host h : hosts) {
+      for (int i = 0, from = 0; h.since > 0 && i < h.sent.size(); i++) {
+        while (h.sent.get(i) - h.sent.get(from) > FALL) {
+          from++;
+        }
+        double warmth = COLD_FROM + (1 - COLD_FROM) * Math.min(1, (h.sent.get(from) - h.since) / COLD);
+        worst = Math.max(worst, (i - from + 1) * WORK / (FALL_MULTIPLE * 3 * FALL * warmth));
+      }
+    }
+    return worst;
+  }
+
+  /** Figures of fleets of 15, 300 and 2,000 proxies: {@code bench/fleet}. */
+  public static void main(String[] args) {
+    System.out.println("proxies hosts idle_ms calm_served mean_conns most_conns handshakes/req | 6 of 10 replaced in 7 s: served mean most handshakes/req cold | half limit a class: served turned_away/req");
+    for (int[] size : new int[][] {{15, 60}, {300, 240}, {2_000, 240}}) {
+      for (double idle : new double[] {42_000, Plan.of(size[0], size[1], 0.6, 1).keepIdle()}) {
+        Plan plan = Plan.of(size[0], size[1], 0.6, 1);
+        plan = new Plan(plan.proxies, plan.hosts, plan.load, plan.connections, plan.tax, idle, plan.seed);
+        FleetModel m = new FleetModel(plan);
+        m.run(10_000);
+        m.count();
+        m.run(10_000);
+        StringBuilder s = new StringBuilder(String.format("%7d %5d %7.0f", size[0], size[1], idle));
+        s.append(String.format("  %.3f %.1f %d %.3f", m.served(), m.meanConnections(), m.mostConnections(), (double) m.handshakes / m.asked));
+        m.count();
+        m.replaceSixInTen(7_000);
+        m.run(15_000);
+        s.append(String.format(" | %.3f %.1f %d %.3f %.2f", m.served(), m.meanConnections(), m.mostConnections(), (double) m.handshakes / m.asked, m.coldBudgetUsed()));
+        FleetModel l = new FleetModel(plan);
+        l.run(10_000);
+        for (int i = 0; i < l.hosts.size(); i += 2) {
+          l.hosts.get(i).limits = CLAIM;
+        }
+        l.count();
+        l.run(10_000);
+        s.append(String.format(" | %.3f %.3f", l.served(), (double) l.turnedAway / l.asked));
+        System.out.println(s);
+      }
+    }
+  }
+
+  /** Replaces six hosts of ten by cold ones, evenly over so long. */
+  public void replaceSixInTen(double within) {
+    List<Host> old = new ArrayList<>(hosts.subList(0, hosts.size() * 6 / 10));
+    for (int i = 0; i < old.size(); i++) {
+      Host h = old.get(i);
+      at(within * i / old.size(), () -> replace(h, 500));
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/corkproxy/bench/FleetTest.java
@@ -0,0 +1,79 @@
+package corkproxy.bench;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import corkproxy.bench.FleetModel.Plan;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What many proxies do together, asserted on the fleet: real modules, modelled hosts, virtual time. */
+class FleetTest {
+  private static FleetModel fifteen(double load, long seed) {
+    return new FleetModel(Plan.of(15, 60, load, seed));
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void noHostRunsOutOfConnectionsWhenSixInTenAreReplaced(long seed) {
+    FleetModel m = fifteen(0.45, seed);
+    m.run(5_000);
+    m.count();
+    m.replaceSixInTen(7_000);
+    m.run(12_000);
+    assertThat((double) m.tableFull / m.asked).isLessThan(0.005);
+    assertThat(m.meanConnections()).isLessThan(9);
+    assertThat(m.served()).isGreaterThan(0.9);
+  }
+
+  /** They know nothing of each other, and together stay within what the rule allows in every window. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void noColdHostIsPushedOverByAllTogether(long seed) {
+    FleetModel m = fifteen(0.7, seed);
+    m.run(5_000);
+    m.replaceSixInTen(7_000);
+    m.run(12_000);
+    assertThat(m.coldBudgetUsed()).isBetween(0.1, 0.5);
+  }
+
+  @Test
+  void allThatStartInTheSameMomentSpreadEvenly() {
+    FleetModel m = fifteen(0.55, 4);
+    m.run(10_000);
+    double mean = m.hosts.stream().mapToInt(h -> h.sends).average().orElseThrow();
+    assertThat(m.hosts).allSatisfy(h -> assertThat(h.sends / mean).isBetween(0.6, 1.6));
+    assertThat(m.served()).isGreaterThan(0.97);
+  }
+
+  /** Half the hosts limit one class: each proxy finds out, and the other class goes there instead. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void aClassThatHalfTheHostsLimitGoesElsewhereAndTheOtherTakesItsPlace(long seed) {
+    FleetModel m = fifteen(0.5, seed);
+    m.run(5_000);
+    for (int i = 0; i < m.hosts.size(); i += 2) {
+      m.hosts.get(i).limits = FleetModel.CLAIM;
+    }
+    m.run(3_000);
+    m.count();
+    m.run(7_000);
+    assertThat(m.served()).isGreaterThan(0.9);
+    assertThat((double) m.turnedAway / m.asked).isLessThan(0.25);
+  }
+
+  /** A fifth of the answers of most hosts gets lost: that is no jam, and what can be served is not refused. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void lostAnswersMakeNobodyRefuse(long seed) {
+    FleetModel m = fifteen(0.45, seed);
+    m.run(5_000);
+    for (int i = 0; i < m.hosts.size(); i++) {
+      m.hosts.get(i).loses = i % 3 == 0 ? 0 : 0.2;
+    }
+    m.count();
+    m.run(10_000);
+    assertThat(m.lost).isGreaterThan(200);
+    assertThat((double) m.refused / m.asked).isLessThan(0.01);
+  }
+}
