Leave out a list of hosts that names one id twice; one cause of a broken watch is one line

Found by the new tests: a list with one id twice was taken, the last entry won, and each try at a broken discovery wrote a line. Change: such a list is left out whole, and a cause is logged once until a watch is good again. DiscoveryTest has twelve kinds of bad answers over loopback; the two cases failed before.

--- a/src/main/java/corkproxy/proxy/Discovery.java
+++ b/src/main/java/corkproxy/proxy/Discovery.java
@@ -1,5 +1,6 @@
 package corkproxy.proxy;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import corkproxy.balancer.HostEntry;
@@ -36,7 +37,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -76,6 +79,10 @@
   private long version = NO_VERSION;
   private Future<?> reopening;
   private long backoff = BACKOFF_MS;
+
+  /** Why the last watch broke, until one is good again: many tries at one broken discovery make one line. */
+  private String fault;
+
   private Watch watch;
 
   Discovery(EventLoopGroup loop, Config config, Dispatcher dispatcher, Log log) {
@@ -167,6 +174,7 @@
       throw new IllegalArgumentException("not a list with version and servers");
     }
     List<Hosts.Member> members = new ArrayList<>(servers.size());
+    Set<String> names = new HashSet<>();
     for (JsonNode s : servers) {
       String name = s.path("id").asText("");
       InetSocketAddress address = Addresses.parse(s.path("addr").asText(""));
@@ -179,6 +187,9 @@
       if (name.isEmpty() || (address == null && condition == HostEntry.Condition.READY)) {
         throw new IllegalArgumentException("an entry without id or address");
       }
+      if (!names.add(name)) {
+        throw new IllegalArgumentException("an id twice in one list"); // which of both holds can't be told
+      }
       members.add(
           new Hosts.Member(
               name,
@@ -243,7 +254,10 @@
       channel.close();
       if (watch == this) {
         watch = null;
-        log.line("watch: " + why);
+        if (!why.equals(fault)) {
+          log.line("watch: " + why);
+        }
+        fault = why;
         retry();
       }
     }
@@ -322,8 +336,7 @@
           news = read(JSON.readTree(line, 0, length));
         } catch (IOException | IllegalArgumentException e) {
           // The last good list stays; what the line was to tell comes again from its version on.
-          log.line("watch: malformed line: " + e.getMessage());
-          broken("can't be understood");
+          broken("can't be understood: " + (e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage()));
           return;
         }
         apply(news);
@@ -331,6 +344,7 @@
       if (!good) {
         good = true;
         told = true;
+        fault = null;
         backoff = BACKOFF_MS;
       }
     }
--- /dev/null
+++ b/src/test/java/corkproxy/proxy/DiscoveryTest.java
@@ -0,0 +1,138 @@
+package corkproxy.proxy;
+
+import static corkproxy.proxy.World.claim;
+import static corkproxy.proxy.World.ok;
+import static corkproxy.proxy.World.write;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Stream;
+import corkproxy.engine.LineLog;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Discovery that breaks off, can't be read, contradicts itself, or has no room. */
+class DiscoveryTest {
+  private static final int BAD_ANSWERS = 3;
+
+  @TempDir Path folder;
+  private World world;
+  private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+
+  @BeforeEach
+  void open() {
+    world = new World(folder, 128);
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    world.close();
+  }
+
+  /** Answers the first questions with these bytes and an end, and later ones as a discovery does. */
+  private final class Broken extends World.Server {
+    final List<Long> asked = new CopyOnWriteArrayList<>();
+    private final String bad;
+    private final String good;
+
+    Broken(String bad, String good) throws IOException {
+      world.super();
+      this.bad = bad;
+      this.good = good;
+    }
+
+    @Override
+    void serve(Socket s) throws IOException {
+      if (World.read(s.getInputStream()) == null) {
+        return;
+      }
+      asked.add(System.nanoTime());
+      if (asked.size() <= BAD_ANSWERS) {
+        write(s, bad);
+        s.shutdownOutput();
+        s.close();
+      } else {
+        write(s, chunk(good + "\n"));
+        World.read(s.getInputStream()); // until the watch ends
+      }
+    }
+  }
+
+  private static String chunk(String text) {
+    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  private static String list(long version, String... entries) {
+    return "{\"version\":" + version + ",\"full\":true,\"servers\":[" + String.join(",", entries) + "]}";
+  }
+
+  private static String entry(String id, String address) {
+    return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":1,\"state\":\"up\","
+        + "\"weight\":1.0,\"started_ms\":0}";
+  }
+
+  static Stream<String> badAnswers() {
+    String whole = list(50, entry("x", "127.0.0.1:1"));
+    return Stream.of(
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(whole.length() + 1) + "\r\n" + whole.substring(0, 40),
+        chunk(whole.substring(0, whole.length() - 5) + "\n"),
+        chunk("no list at all\n"),
+        chunk("[1,2]\n"),
+        chunk(list(50, entry("", "127.0.0.1:1")) + "\n"),
+        chunk(list(50, entry("x", "nowhere")) + "\n"),
+        chunk(list(50, entry("x", "127.0.0.1:1"), entry("x", "127.0.0.1:2")) + "\n"),
+        chunk(list(3) + "\n"),
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n",
+        "\u0000\u0001 not HTTP at all\r\n\r\n",
+        "");
+  }
+
+  private void start(World.Server discovery, String known) throws Exception {
+    Path file = world.configure(discovery.address(), known);
+    world.run(file, new LineLog(new PrintStream(log, true, StandardCharsets.UTF_8), false));
+  }
+
+  /** The list in force stays, whole, until one comes that is sound; and that one is taken. */
+  @ParameterizedTest
+  @MethodSource("badAnswers")
+  void aBadAnswerChangesNothingAndTheNextGoodOneIsTaken(String bad) throws Exception {
+    World.Host old = world.new Host(h -> ok("old"));
+    World.Host next = world.new Host(h -> ok("next"));
+    Broken discovery = new Broken(bad, list(51, entry("next", next.address())));
+    start(discovery, list(40, entry("old", old.address())));
+    World.await(() -> !discovery.asked.isEmpty());
+    if (discovery.asked.size() <= BAD_ANSWERS) {
+      assertThat(world.ask(claim("a"))).matches("(?s).*(old|next)");
+    }
+    World.await(
+        () -> {
+          try {
+            return world.ask(claim("b" + System.nanoTime())).endsWith("next");
+          } catch (IOException e) {
+            return false;
+          }
+        });
+    assertThat(discovery.asked).hasSize(BAD_ANSWERS + 1);
+  }
+
+  @Test
+  void oneCauseIsOneLineHoweverOftenItIsMet() throws Exception {
+    World.Host host = world.new Host(h -> ok("done"));
+    Broken discovery = new Broken(chunk("no list\n"), list(51, entry("old", host.address())));
+    start(discovery, list(40, entry("old", host.address())));
+    World.await(() -> discovery.asked.size() > BAD_ANSWERS);
+    assertThat(log.toString(StandardCharsets.UTF_8).lines().filter(l -> l.contains("watch:"))).hasSize(1);
+  }
+}
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -1,6 +1,7 @@
 package corkproxy.proxy;
 
 import corkproxy.engine.LineLog;
+import corkproxy.engine.Log;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -206,10 +207,12 @@
 
   /** Starts one at this discovery, also while another runs, which is the caller's to stop. */
   void startBeside(Discovery d, Host... hosts) throws Exception {
-    configure(d.address(), d.list);
-    proxy =
-        new Proxy(
-            Config.load(Map.of("BALANCER_CONFIG", file.toString())), operators, generations, new LineLog(quiet(), false));
+    run(configure(d.address(), d.list), new LineLog(quiet(), false));
+  }
+
+  /** Starts one as this file says, with this log. */
+  void run(Path configuration, Log log) throws Exception {
+    proxy = new Proxy(Config.load(Map.of("BALANCER_CONFIG", configuration.toString())), operators, generations, log);
     proxy.start();
   }
 
