--- a/src/test/java/corkproxy/bench/FleetModel.java
+++ b/src/test/java/corkproxy/bench/FleetModel.java
@@ -46,7 +46,7 @@
   /** What a run is to have. */
   public record Plan(
       int proxies, int hosts, double load, int connections, double tax, double keepIdle, long seed) {
-    /** The part of all, a table of 20 connections that takes 0.4 when full, and the platform's idle time. */
+    /** With tables of 20 connections that take 0.4 of a host when full, and the idle time of the platform's proxy. */
     public static Plan of(int proxies, int hosts, double load, long seed) {
       return new Plan(proxies, hosts, load, 20, 0.4, settings(proxies, 0).keepIdle(60_000), seed);
     }
