--- a/src/main/java/corkproxy/balancer/Draw.java
+++ b/src/main/java/corkproxy/balancer/Draw.java
@@ -96,7 +96,7 @@
     int seen = 0;
     for (int i = 0; i < 4 * Tuning.CHOICES && seen < Tuning.CHOICES && pool.length > 0; i++) {
       Fleet.Host h = pool[random.nextInt(pool.length)];
-      if (drawn.contains(h) || !usable(h, c, now)) {
+      if (drawn.contains(h) || !usable(h, c, now, pool == local ? pool.length : fleet.ready().size())) {
         continue;
       }
       if (h.ejected.trial && c.type.repeatable()) {
@@ -110,11 +110,11 @@
     return false;
   }
 
-  private boolean usable(Fleet.Host h, Attempts.Call c, double now) {
+  private boolean usable(Fleet.Host h, Attempts.Call c, double now, int among) {
     return attempts.allowed(c, h, now) && (c.attempts.isEmpty() || !c.tried(h))
         && health.available(h, now, c.type.silentAfter())
         && health.takes(h, c.type, now)
-        && (fleet.warmth(h, now) >= 1 || credit(h, now));
+        && (fleet.warmth(h, now) >= 1 || credit(h, now, among));
   }
 
   private void consider(Fleet.Host h, double now) {
@@ -140,15 +140,15 @@
   }
 
   /**
-   * Guards rule 4 without agreement: each proxy lends a cold host the part of its own mean share
-   * that the host's least warmth and the fall multiple allow, so the sum over all stays inside.
+   * Guards rule 4 without agreement: each proxy lends a cold host the part of its own mean share among so many
+   * hosts that the host's least warmth and the fall multiple allow, so the sum over all stays inside. A host of the
+   * pool is shared with few proxies only, and gets what those would have given to all others.
    * What counts is what hosts serve, not what clients ask: their retries multiply in a jam.
    */
-  private boolean credit(Fleet.Host h, double now) {
+  private boolean credit(Fleet.Host h, double now, int among) {
     Settings.Rules rules = settings.now().rules();
-    double share = admission.servedRate(now) / Math.max(1, fleet.ready().size());
-    double gain =
-        Tuning.COLD_SHARE * rules.fallMultiple() * fleet.warmth(h, now) * share * (now - h.coldCreditAt);
+    double share = admission.servedRate(now) / Math.max(1, among);
+    double gain = Tuning.COLD_SHARE * rules.fallMultiple() * fleet.warmth(h, now) * share * (now - h.coldCreditAt);
     h.coldCreditAt = now;
     h.coldCredit = Math.min(h.coldCredit + gain, 1 + share * rules.fall() / 2);
     return h.coldCredit >= 1;
@@ -162,7 +162,7 @@
     Fleet.Host lastResort = null;
     for (int i = 0; i < n; i++) {
       Fleet.Host h = all.get((start + i) % n);
-      if (!attempts.allowed(c, h, now) || (fleet.warmth(h, now) < 1 && !credit(h, now))) {
+      if (!attempts.allowed(c, h, now) || (fleet.warmth(h, now) < 1 && !credit(h, now, n))) {
         continue;
       }
       if (health.available(h, now, c.type.silentAfter()) && !c.tried(h)) {
--- a/src/test/java/corkproxy/bench/FleetTest.java
+++ b/src/test/java/corkproxy/bench/FleetTest.java
@@ -37,6 +37,22 @@
     assertThat(m.coldBudgetUsed()).isBetween(0.1, 0.5);
   }
 
+  /**
+   * A hundred proxies draw from a tenth of the hosts each, so that few of them can send to a cold one: these few owe
+   * it what all would give. The warm ones can't carry the fleet alone.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2})
+  void coldHostsOfAFleetWithSmallPoolsGetWhatTheRuleAllows(long seed) {
+    FleetModel m = new FleetModel(Plan.of(100, 200, 0.45, seed));
+    m.run(8_000);
+    m.count();
+    m.replaceSixInTen(7_000);
+    m.run(15_000);
+    assertThat(m.served()).isGreaterThan(0.88);
+    assertThat(m.coldBudgetUsed()).isBetween(0.4, 0.7);
+  }
+
   @Test
   void allThatStartInTheSameMomentSpreadEvenly() {
     FleetModel m = fifteen(0.55, 4);
