Give lists and answers one way into the suspicions; drop a class setting that nothing reads

Need: a second reading of the change. "The host has answered" stood three times. Since streamed requests leave the count as others do, nothing read RequestClass.streamed. Peer addresses were read twice at each start. The watched file was set on one thread and read on another. The test of thirty watchers failed once: its discovery sent no empty lines, so that watches were taken for silent and asked again.

Change: Suspicions.members, in the form of Balancer.onMembership; Result.answered; the setting gone; one reading; a volatile field; empty lines in the test. It keeps its assertions, and no bound moved.

--- a/src/main/java/corkproxy/adapter/Adapter.java
+++ b/src/main/java/corkproxy/adapter/Adapter.java
@@ -170,7 +170,7 @@
     double spent = line.decimal("spent", 0);
     boolean over = line.flag("terminal");
     Suspicions talks = talking.get(line.number("who"));
-    if (talks != null && (result == Result.OK || result == Result.ERROR)) {
+    if (talks != null && result != null && result.answered()) {
       talks.answered(now, line.number("host"));
     }
     if (b != null) {
@@ -265,13 +265,7 @@
     b.onMembership(now, how, entries);
     Suspicions talks = talking.get(line.number("who"));
     if (talks != null) {
-      for (HostEntry e : entries) {
-        if (e.condition() != HostEntry.Condition.READY) {
-          talks.forget(e.id());
-        } else {
-          talks.listed(e.id());
-        }
-      }
+      talks.members(how, entries);
     }
   }
 
--- a/src/main/java/corkproxy/adapter/SettingsReader.java
+++ b/src/main/java/corkproxy/adapter/SettingsReader.java
@@ -97,7 +97,6 @@
         scope,
         c.path("repeatWindow").asDouble(0),
         c.path("value").asDouble(1),
-        c.path("lateWorth").asDouble(0),
-        c.path("streamed").asBoolean(false));
+        c.path("lateWorth").asDouble(0));
   }
 }
--- a/src/main/java/corkproxy/balancer/Result.java
+++ b/src/main/java/corkproxy/balancer/Result.java
@@ -17,6 +17,11 @@
     this.neverRan = neverRan;
   }
 
+  /** Whether the host has given an answer of its own making to the request: a sign of life. */
+  public boolean answered() {
+    return this == OK || this == ERROR;
+  }
+
   /** Whether this result proves that the attempt had no effect. */
   public boolean neverRan() {
     return neverRan;
--- a/src/main/java/corkproxy/balancer/Settings.java
+++ b/src/main/java/corkproxy/balancer/Settings.java
@@ -75,25 +75,24 @@
       Scope scope,
       double repeatWindow,
       double value,
-      double lateWorth,
-      boolean streamed) {
+      double lateWorth) {
     /** The same under another name. */
     public RequestClass named(String other) {
       return new RequestClass(
-          other, aim, deadline, semantics, scope, repeatWindow, value, lateWorth, streamed);
+          other, aim, deadline, semantics, scope, repeatWindow, value, lateWorth);
     }
 
     /** The same with so much time (ms) for an answer to be of use, and to come at all. */
     public RequestClass within(double time) {
       return new RequestClass(
-          name, time, time, semantics, scope, repeatWindow, value, lateWorth, streamed);
+          name, time, time, semantics, scope, repeatWindow, value, lateWorth);
     }
 
     /** A class that the settings do not name: taken for the strictest kind. */
     static RequestClass unknown(String name, double budget) {
       double wait = Math.max(1, budget);
       return new RequestClass(
-          name, wait, wait, Semantics.AT_MOST_ONCE, Scope.ALL, 0, 1, 0, false);
+          name, wait, wait, Semantics.AT_MOST_ONCE, Scope.ALL, 0, 1, 0);
     }
   }
 
--- a/src/main/java/corkproxy/daemon/OperatorFile.java
+++ b/src/main/java/corkproxy/daemon/OperatorFile.java
@@ -213,8 +213,7 @@
               },
               window,
               s.number("worth", 1, 0.001, 1e6),
-              0,
-              false));
+              0));
       s.end();
     }
     if (!names.classes.contains(DaemonConfig.DEFAULT_CLASS)) {
@@ -222,7 +221,7 @@
       out.add(
           new Settings.RequestClass(
               DaemonConfig.DEFAULT_CLASS, 1_000, 5_000, Settings.Semantics.AT_MOST_ONCE,
-              Settings.Scope.CELL, 0, 1, 0, false));
+              Settings.Scope.CELL, 0, 1, 0));
     }
     return out;
   }
--- a/src/main/java/corkproxy/engine/Dispatcher.java
+++ b/src/main/java/corkproxy/engine/Dispatcher.java
@@ -182,7 +182,7 @@
     deliver(null, () -> balancer.onMembership(now(), kind, entries));
     if (suspicions != null) {
       change.cut().forEach(h -> suspicions.forget(h.id));
-      hosts.all().stream().filter(h -> h.sendable).forEach(h -> suspicions.listed(h.id));
+      suspicions.members(kind, entries);
     }
     for (Host h : change.cut()) {
       // Guards against a send to a host that drains or has moved while its connection comes up.
@@ -229,7 +229,7 @@
   void outcome(
       Exchange e, Attempt a, Result result, double spent, boolean over, LoadReport report) {
     int number = a.number();
-    if (suspicions != null && (result == Result.OK || result == Result.ERROR)) {
+    if (suspicions != null && result.answered()) {
       suspicions.answered(now(), a.host.id);
     }
     if (FAILURES.contains(result) && log.details()) {
--- a/src/main/java/corkproxy/fleet/Suspicions.java
+++ b/src/main/java/corkproxy/fleet/Suspicions.java
@@ -1,7 +1,12 @@
 package corkproxy.fleet;
 
+import corkproxy.balancer.HostEntry;
+import corkproxy.balancer.News;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -92,6 +97,11 @@
     double refuteAt = Double.POSITIVE_INFINITY;
     double decideAt = Double.POSITIVE_INFINITY;
     double spread;
+    final double onlineSince;
+
+    Standing(double onlineSince) {
+      this.onlineSince = onlineSince;
+    }
 
     boolean leftOut() {
       return !Double.isNaN(leftOutAt);
@@ -113,6 +123,8 @@
    * @param zone its own zone, or null
    * @param proxies how many there are in the tier, itself included
    * @param pace the shortest aim (ms)
+   * @param seed of its waits, which should differ from proxy to proxy
+   * @param actions what carries out its decisions
    */
   public Suspicions(String zone, int proxies, double pace, long seed, Actions actions) {
     this.zone = Suspicion.zoneByte(zone);
@@ -127,12 +139,27 @@
     pace = aim;
   }
 
-  /** A host has come into the list. */
-  public void listed(long host) {
-    standings.computeIfAbsent(host, x -> new Standing());
+  /** A list of hosts, or changes to one, as the module gets it. What is known of a host ends with its process. */
+  public void members(News kind, List<HostEntry> entries) {
+    if (kind == News.FAILED) {
+      return;
+    }
+    Set<Long> ready = new HashSet<>();
+    for (HostEntry e : entries) {
+      if (e.condition() == HostEntry.Condition.READY) {
+        ready.add(e.id());
+        standings.compute(
+            e.id(), (id, s) -> s != null && s.onlineSince == e.onlineSince() ? s : new Standing(e.onlineSince()));
+      } else {
+        standings.remove(e.id());
+      }
+    }
+    if (kind != News.DELTA) {
+      standings.keySet().retainAll(ready);
+    }
   }
 
-  /** A host is gone, or has started anew: what was known of it is void. */
+  /** The host is another than it was, for a reason that no list tells: what was known of it is void. */
   public void forget(long host) {
     standings.remove(host);
   }
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -74,7 +74,7 @@
   private final Log log;
   private Future<?> reload;
   private Future<?> settling;
-  private WatchedFile watched;
+  private volatile WatchedFile watched;
   private boolean shared;
   private boolean sentAway;
   private boolean takenOver;
@@ -108,7 +108,8 @@
     this.front =
         new Front(FrontSettings.platform(config.maxOpen()), gate, TRANSPORT, sockets, budget, log);
     this.discovery = new Discovery(group, config, dispatcher, log);
-    this.peers = config.peers() == null ? null : new Peers(config.peers(), dispatcher::heard, log);
+    PeerAddresses others = config.peers();
+    this.peers = others == null ? null : new Peers(others, dispatcher::heard, log);
     if (peers != null) {
       dispatcher.join(config.seed(), peers::tell);
     }
@@ -187,7 +188,7 @@
     Rehearsal.run(Config.example(), false, new LineLog(System.err, false));
   }
 
-  /** Takes up the configuration whenever its file changes, to be called before {@link #start}. */
+  /** Takes up the configuration whenever its file changes from now on. */
   void watch(String file) {
     watched = new WatchedFile(Path.of(file));
   }
--- a/src/test/java/corkproxy/balancer/BalancerTest.java
+++ b/src/test/java/corkproxy/balancer/BalancerTest.java
@@ -605,7 +605,7 @@
   @Test
   void clientsThatReadNothingOfLongAnswersCostOthersNothing() {
     Settings.RequestClass stream =
-        new Settings.RequestClass("stream", 400, 4_000, Semantics.IDEMPOTENT, Scope.ALL, 300, 1, 0, true);
+        new Settings.RequestClass("stream", 400, 4_000, Semantics.IDEMPOTENT, Scope.ALL, 300, 1, 0);
     Balancer b =
         balancer(
             Bench.settings(stream, Bench.type(SAFE, Semantics.IDEMPOTENT, Scope.ALL)), Bench.hosts(1));
--- a/src/test/java/corkproxy/balancer/Bench.java
+++ b/src/test/java/corkproxy/balancer/Bench.java
@@ -18,7 +18,7 @@
   private final java.util.Map<Long, Integer> numbers = new java.util.HashMap<>();
 
   static Settings.RequestClass type(String name, Settings.Semantics s, Settings.Scope scope) {
-    return new Settings.RequestClass(name, 400, 800, s, scope, 300, 1, 0, false);
+    return new Settings.RequestClass(name, 400, 800, s, scope, 300, 1, 0);
   }
 
   static Settings settings(Settings.RequestClass... classes) {
--- a/src/test/java/corkproxy/bench/FleetModel.java
+++ b/src/test/java/corkproxy/bench/FleetModel.java
@@ -214,7 +214,7 @@
 
     void outcome(Job j, Result result, boolean over, LoadReport load) {
       open.remove(j.request, j);
-      if (talk && (result == Result.OK || result == Result.ERROR)) {
+      if (talk && result.answered()) {
         suspicions.answered(now, j.host.id);
       }
       module.onOutcome(now, j.request, j.number, result, now - j.sentAt, over, load);
@@ -390,7 +390,7 @@
       proxies.add(p);
       p.module.onStart(now);
       p.module.onMembership(now, News.CACHED, entries);
-      hosts.forEach(h -> p.suspicions.listed(h.id));
+      p.suspicions.members(News.CACHED, entries);
     }
     arrive();
   }
@@ -399,9 +399,9 @@
     return new Settings(
         List.of(
             new Settings.RequestClass(
-                CLAIM, AIM, DEADLINE, Settings.Semantics.AT_MOST_ONCE, Settings.Scope.ALL, 0, 8, 0, false),
+                CLAIM, AIM, DEADLINE, Settings.Semantics.AT_MOST_ONCE, Settings.Scope.ALL, 0, 8, 0),
             new Settings.RequestClass(
-                LOG, AIM, DEADLINE, Settings.Semantics.DEDUPLICATED, Settings.Scope.CELL, 750, 5, 0, false)),
+                LOG, AIM, DEADLINE, Settings.Semantics.DEDUPLICATED, Settings.Scope.CELL, 750, 5, 0)),
         List.of(),
         new Settings.Limits(true, true, true, 6, 1_200, 1),
         new Settings.Rules(COLD, COLD_FROM, FALL, FALL_MULTIPLE, 6_000),
@@ -464,8 +464,7 @@
       at(
           late * random.nextDouble(),
           () -> {
-            p.suspicions.forget(old.id);
-            p.suspicions.listed(h.id);
+            p.suspicions.members(News.DELTA, news);
             p.module.onMembership(now, News.DELTA, news);
           });
     }
--- a/src/test/java/corkproxy/fleet/SuspicionsTest.java
+++ b/src/test/java/corkproxy/fleet/SuspicionsTest.java
@@ -2,10 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import corkproxy.balancer.HostEntry;
+import corkproxy.balancer.News;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** What a proxy says of silent hosts, and on whose word it leaves one out or takes it back. */
@@ -44,7 +48,11 @@
   private final Suspicions one = new Suspicions("a", 100, AIM, 5, ear);
 
   SuspicionsTest() {
-    one.listed(HOST);
+    one.members(News.FULL, List.of(host(0, HostEntry.Condition.READY)));
+  }
+
+  private static HostEntry host(double since, HostEntry.Condition condition) {
+    return new HostEntry(HOST, "a", "k", 1, condition, 1, since);
   }
 
   private static byte[] silence(String zone, int age) {
@@ -219,6 +227,33 @@
     assertThat(ear.told).isEmpty();
   }
 
+  @ParameterizedTest
+  @EnumSource(Change.class)
+  void whatIsKnownOfAHostEndsWithItsProcess(Change change) {
+    one.heard(1_000, 3, silence("a", 450));
+    one.heard(1_010, 4, silence("a", 450));
+    decide(1_010);
+    one.members(News.FAILED, List.of());
+    one.members(News.DELTA, List.of());
+    one.members(News.DELTA, List.of(host(0, HostEntry.Condition.READY)));
+    assertThat(one.leavesOut(HOST)).isTrue();
+    change.to.accept(one);
+    assertThat(one.leavesOut(HOST)).isFalse();
+  }
+
+  private enum Change {
+    DRAINS(s -> s.members(News.DELTA, List.of(host(0, HostEntry.Condition.TERMINATING)))),
+    STARTS_ANEW(s -> s.members(News.DELTA, List.of(host(900, HostEntry.Condition.READY)))),
+    IS_NOT_IN_A_WHOLE_LIST(s -> s.members(News.FULL, List.of())),
+    IS_ELSEWHERE(s -> s.forget(HOST));
+
+    private final Consumer<Suspicions> to;
+
+    Change(Consumer<Suspicions> to) {
+      this.to = to;
+    }
+  }
+
   @Test
   void itSaysNoMoreThanItsAttemptsEarn() {
     for (int i = 0; i < 200; i++) {
--- a/src/test/java/corkproxy/proxy/DiscoveryTest.java
+++ b/src/test/java/corkproxy/proxy/DiscoveryTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
 import corkproxy.engine.LineLog;
 import corkproxy.engine.Log;
@@ -158,6 +159,7 @@
         if (takes()) {
           told.incrementAndGet();
           write(s, chunk(list + "\n"));
+          stayOpen(s);
         } else {
           write(s, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
         }
@@ -165,6 +167,14 @@
     }
   }
 
+  /** Sends the empty lines of a watch on which nothing changes, until it ends: one that is silent would be asked again. */
+  private static void stayOpen(Socket s) throws IOException {
+    while (true) {
+      write(s, "1\r\n\n\r\n");
+      LockSupport.parkNanos(5 * TENTH);
+    }
+  }
+
   /** Guards against watchers that come again together: those turned away at once would all be turned away again. */
   @Test
   void thirtyThatStartAtOnceBeforeAnOverbookedDiscoveryAreAllToldAndDoNotStormIt() throws Exception {
