--- a/src/main/java/corkproxy/cli/Corkproxy.java
+++ b/src/main/java/corkproxy/cli/Corkproxy.java
@@ -11,6 +11,8 @@
     version = "corkproxy 0.1.0",
     subcommands = {
       DaemonCommand.class,
+      KeeperCommand.class,
+      FleetCommand.class,
       CheckCommand.class,
       StandInCommand.class,
       LoadCommand.class,
--- /dev/null
+++ b/src/main/java/corkproxy/cli/KeeperCommand.java
@@ -0,0 +1,78 @@
+package corkproxy.cli;
+
+import corkproxy.daemon.DaemonLog;
+import corkproxy.daemon.FaultyFileException;
+import corkproxy.daemon.KeeperFile;
+import corkproxy.daemon.LogForm;
+import corkproxy.quorum.Keeper;
+import corkproxy.quorum.KeeperConfig;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(
+    name = "keeper",
+    mixinStandardHelpOptions = true,
+    description = "Runs one of the keepers of the fleet's ledger by its file, until SIGTERM.",
+    footer = {
+      "",
+      "Exit status: 0 ended, 1 it could not go on (the log says why), 2 the file is faulty, or a folder or address can't be had."
+    })
+final class KeeperCommand implements Callable<Integer> {
+  @Option(names = "--config", required = true, paramLabel = "FILE", description = "The keeper's file.")
+  private Path file;
+
+  @Option(names = "--new", description = "This keeper never had a log: an empty folder becomes its own.")
+  private boolean fresh;
+
+  @Option(names = "--log", defaultValue = "text", description = "${COMPLETION-CANDIDATES}.")
+  private LogForm form;
+
+  @Override
+  public Integer call() throws InterruptedException {
+    KeeperConfig config;
+    try {
+      config = KeeperFile.read(file);
+    } catch (FaultyFileException e) {
+      System.err.println(e.getMessage());
+      return 2;
+    }
+    DaemonLog log = DaemonLog.onStandardError(form);
+    CountDownLatch broken = new CountDownLatch(1);
+    Keeper keeper;
+    try {
+      keeper =
+          new Keeper(
+              config,
+              fresh,
+              log::line,
+              t -> {
+                log.failure("this keeper can't go on", t);
+                broken.countDown();
+              });
+    } catch (IOException | RuntimeException e) {
+      log.close();
+      System.err.println("keeper " + config.name() + ": " + e.getMessage());
+      return 2;
+    }
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  try {
+                    keeper.close();
+                  } catch (IOException e) {
+                    log.failure("the end of the keeper", e);
+                  }
+                  log.close();
+                  Runtime.getRuntime().halt(broken.getCount() == 0 ? 1 : 0);
+                },
+                "end"));
+    log.line("ready");
+    broken.await();
+    return 1;
+  }
+}
--- a/src/main/java/corkproxy/daemon/Daemon.java
+++ b/src/main/java/corkproxy/daemon/Daemon.java
@@ -19,6 +19,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -59,6 +60,9 @@
   private final Map<String, Bound> bound = new HashMap<>();
   private final CountDownLatch ended = new CountDownLatch(1);
   private Version version;
+  private final FleetMember member;
+  private Set<String> hostsOut = Set.of();
+  private boolean away;
   private boolean draining;
 
   /** A listener's socket; {@code asked} is the address in the file. */
@@ -90,12 +94,46 @@
       EventLoop loop = (EventLoop) group.next();
       workers.put(loop, new Worker(loop, transport, i, config.process(), seed + 1_000_003L * i, log));
     }
+    this.member = config.fleet() == null ? null : new FleetMember(config.fleet(), this, log);
+    if (member != null) {
+      member.begin(config); // what the fleet has taken out is known before the first request
+    }
     try {
       apply(config);
     } catch (FaultyFileException e) {
       close();
       throw e;
     }
+    if (member != null) {
+      member.serving();
+    }
+  }
+
+  /** Puts in force what the fleet has agreed: hosts that get nothing, and whether this process sends its clients away. */
+  synchronized void agreed(Set<String> hosts, boolean sendAway) {
+    boolean others = !hosts.equals(hostsOut);
+    hostsOut = hosts;
+    if (away != sendAway) {
+      away = sendAway;
+      log.line(away ? "out of service by the fleet's permit" : "back in service");
+      workers.values().forEach(w -> w.loop().execute(() -> w.sendAway(sendAway)));
+    }
+    if (others && version != null && !draining) {
+      try {
+        apply(version.config);
+      } catch (FaultyFileException e) {
+        log.failure("what the fleet agreed", e); // nothing is bound anew by the same file
+      }
+    }
+  }
+
+  /** Hosts that are busy, of those given, and those that modules have ejected; from all workers. */
+  Set<String> hosts(Function<Worker, Set<String>> of) {
+    Set<String> out = new HashSet<>();
+    for (Worker w : workers.values()) {
+      out.addAll(w.loop().submit(() -> of.apply(w)).syncUninterruptibly().getNow());
+    }
+    return out;
   }
 
   /** The sockets that were asked for; where Linux does not give them, those of the JDK and a line. */
@@ -135,10 +173,14 @@
           || is.descriptors() != was.descriptors()
           || is.bodyMemoryMb() != was.bodyMemoryMb()
           || is.transport() != was.transport()
-          || is.log() != was.log()) {
-        log.line("workers, descriptors, body_memory_mb, transport and log change with a restart only");
+          || is.log() != was.log()
+          || !java.util.Objects.equals(next.fleet(), version.config.fleet())) {
+        log.line("workers, descriptors, body_memory_mb, transport, log and [fleet] change with a restart only");
       }
       apply(next);
+      if (member != null) {
+        member.lists(next);
+      }
       log.event("version " + version.number + " in force", "version", version.number);
       return true;
     } catch (FaultyFileException e) {
@@ -153,7 +195,7 @@
 
   private void apply(DaemonConfig config) throws FaultyFileException {
     Map<String, Bound> fresh = bindNew(config);
-    Version next = new Version(config, version, System.currentTimeMillis());
+    Version next = new Version(config, hostsOut, version, System.currentTimeMillis());
     List<Future<?>> applied = new ArrayList<>();
     for (Worker w : workers.values()) {
       applied.add(w.loop().submit(() -> w.apply(next)));
@@ -253,6 +295,9 @@
     }
     draining = true;
     log.line("draining");
+    if (member != null) {
+      member.leaving();
+    }
     bound.values().forEach(b -> closeLater(b.channel()));
     workers.values().forEach(w -> w.loop().execute(w::drain));
     long until = System.nanoTime() + version.config.process().drainMs() * 1_000_000L;
@@ -279,7 +324,11 @@
                 acceptor.next().schedule(() -> pollDrain(until), POLL_MS, TimeUnit.MILLISECONDS);
               } else {
                 log.line(any ? "drain cut short by its time" : "drained");
-                ended.countDown();
+                if (member == null) {
+                  ended.countDown();
+                } else {
+                  member.gone(!any, ended::countDown);
+                }
               }
             });
   }
@@ -292,6 +341,9 @@
   /** Ends all at once. */
   @Override
   public void close() {
+    if (member != null) {
+      member.close();
+    }
     acceptor.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     ended.countDown();
--- a/src/main/java/corkproxy/daemon/DaemonConfig.java
+++ b/src/main/java/corkproxy/daemon/DaemonConfig.java
@@ -17,7 +17,8 @@
     List<Settings.RequestClass> classes,
     Map<String, Pool> pools,
     List<Route> routes,
-    List<Limit> limits) {
+    List<Limit> limits,
+    Fleet fleet) {
 
   /** The class of requests for which no class was declared. */
   static final String DEFAULT_CLASS = "default";
@@ -36,6 +37,33 @@
       Sockets transport,
       LogForm log) {}
 
+  /** What a start does where no keeper can be reached: goes by what it last knew, or waits. */
+  enum Unreachable {
+    LAST,
+    WAIT
+  }
+
+  /**
+   * This process as a member of a fleet; null where there is none.
+   *
+   * @param fleet the fleet's name
+   * @param name this process's name, its own in the fleet
+   * @param zone its zone, or "-"
+   * @param leaseMs after so long without a word the fleet takes it for lost
+   * @param startWaitMs how long a start asks keepers before it takes them for unreachable
+   * @param state the file in which it keeps what it goes by, or null
+   * @param keepers where they are, by name
+   */
+  record Fleet(
+      String fleet,
+      String name,
+      String zone,
+      int leaseMs,
+      int startWaitMs,
+      Unreachable onUnreachable,
+      java.nio.file.Path state,
+      Map<String, InetSocketAddress> keepers) {}
+
   /** The kind of sockets: the best that is there, or a certain one. */
   enum Sockets {
     AUTO,
--- a/src/main/java/corkproxy/daemon/DaemonGate.java
+++ b/src/main/java/corkproxy/daemon/DaemonGate.java
@@ -94,7 +94,7 @@
 
   @Override
   public boolean ready() {
-    return !worker.draining();
+    return worker.serves();
   }
 
   @Override
--- /dev/null
+++ b/src/main/java/corkproxy/daemon/FleetMember.java
@@ -0,0 +1,328 @@
+package corkproxy.daemon;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import corkproxy.disruption.Disruption;
+import corkproxy.disruption.Kind;
+import corkproxy.disruption.MemberView;
+import corkproxy.disruption.Subject;
+import corkproxy.engine.Hosts;
+import corkproxy.engine.Log;
+import corkproxy.quorum.Json;
+import corkproxy.quorum.KeeperClient;
+import corkproxy.quorum.KeeperClient.UnreachableException;
+import corkproxy.quorum.Lease;
+import corkproxy.quorum.Ledger;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.UUID;
+
+/**
+ * This daemon as a member of its fleet: one thread that keeps a session, goes by what the keepers tell, and tells what it
+ * does. No request waits for it: without keepers the daemon goes on by what it knows.
+ *
+ * <pre>
+ *   begin: join, or the state file ... serving: renew, take news, tell ... leaving ... gone
+ * </pre>
+ */
+final class FleetMember implements AutoCloseable {
+  /** Renewals a lease. */
+  private static final int RENEWALS = 4;
+
+  private static final long LOOK_MS = 50;
+  private static final long LEAVE_MS = 1_000;
+
+  private final DaemonConfig.Fleet config;
+  private final Daemon daemon;
+  private final Log log;
+  private final String incarnation = UUID.randomUUID().toString();
+  private final KeeperClient keepers;
+  private final Lease lease;
+  private final MemberView view;
+  private final Thread thread;
+  private long session;
+  private long number;
+  private String told = "";
+  private String toldDigest = "";
+  private boolean reachable = true;
+  private String keptState = "";
+  private volatile DaemonConfig lists;
+  private volatile boolean serving;
+  private volatile boolean leaving;
+  private volatile boolean closed;
+  private volatile Runnable gone;
+  private volatile boolean carriesNothing;
+
+  FleetMember(DaemonConfig.Fleet config, Daemon daemon, Log log) {
+    this.config = config;
+    this.daemon = daemon;
+    this.log = log;
+    this.keepers = new KeeperClient(config.fleet(), config.keepers(), m -> take(m.path("view")));
+    this.lease = new Lease(config.leaseMs());
+    this.view = new MemberView(config.name());
+    this.thread = new Thread(this::run, "fleet");
+    thread.setDaemon(true);
+  }
+
+  /** Learns what is in force before the first request: from the keepers, or as {@code on_unreachable} says. */
+  void begin(DaemonConfig first) {
+    lists = first;
+    long until = System.nanoTime() + config.startWaitMs() * 1_000_000L;
+    boolean last = config.onUnreachable() == DaemonConfig.Unreachable.LAST;
+    boolean said = false;
+    while (session == 0) {
+      long now = System.nanoTime();
+      boolean answered = join(now + config.leaseMs() * 1_000_000L);
+      if (session != 0) {
+        break;
+      }
+      if (!answered && last && System.nanoTime() - until >= 0) {
+        known();
+        break;
+      }
+      if (!answered && !said && System.nanoTime() - until >= 0) {
+        said = true;
+        log.line("no keeper can be reached: waiting, as on_unreachable says");
+      }
+      sleep(LOOK_MS);
+    }
+    thread.start();
+  }
+
+  /** What was in force when this process, or the one before it, last heard. */
+  private void known() {
+    log.line("no keeper can be reached: starting by what was last in force");
+    try {
+      if (config.state() != null && Files.exists(config.state())) {
+        ObjectNode o = Json.read(Files.readAllBytes(config.state()));
+        if (o != null && o.path("fleet").asText().equals(config.fleet())) {
+          view.take(o.path("view"), true, System.nanoTime());
+          daemon.agreed(view.hostsOut(), view.away());
+          view.forget();
+        } else {
+          log.line(config.state() + ": not of fleet " + config.fleet() + ": nothing is taken from it");
+        }
+      }
+    } catch (IOException e) {
+      log.failure(config.state().toString(), e);
+    }
+  }
+
+  /** The listeners are there. */
+  void serving() {
+    serving = true;
+  }
+
+  /** A reload has changed what is balanced over. */
+  void lists(DaemonConfig next) {
+    lists = next;
+  }
+
+  /** SIGTERM can't be refused: it is told. */
+  void leaving() {
+    leaving = true;
+  }
+
+  /** The drain is over; {@code then} runs once the keepers know, or can't be told within a second. */
+  void gone(boolean nothingInFlight, Runnable then) {
+    carriesNothing = nothingInFlight;
+    gone = then;
+  }
+
+  // --- on the member's own thread
+
+  private void run() {
+    long nextRenewal = System.nanoTime();
+    long every = config.leaseMs() * 1_000_000L / RENEWALS;
+    while (!closed) {
+      try {
+        long now = System.nanoTime();
+        if (gone != null) {
+          leave();
+          return;
+        }
+        if (session == 0) {
+          join(now + every);
+          nextRenewal = System.nanoTime() + every;
+        } else if (now - nextRenewal >= 0) {
+          renew(now, now + every);
+          nextRenewal = now + every;
+        }
+        now = System.nanoTime();
+        if (view.look(lease.holds(now), now)) {
+          inForce();
+        }
+        if (session != 0) {
+          tell(now + every);
+        }
+        keepers.listen(Math.min(nextRenewal, System.nanoTime() + LOOK_MS * 1_000_000L));
+      } catch (RuntimeException e) {
+        log.failure("the fleet's member", e);
+        sleep(LOOK_MS);
+      }
+    }
+  }
+
+  /** Asks for a session; false if nobody answered. */
+  private boolean join(long until) {
+    ObjectNode entry = Json.object().put("op", "join").put("name", config.name()).put("incarnation", incarnation);
+    entry.put("lease_ms", config.leaseMs()).put("zone", config.zone());
+    hosts(entry);
+    long asked = System.nanoTime();
+    ObjectNode o = submit(entry, until);
+    if (o == null) {
+      return false;
+    }
+    if (!o.path("status").asText().equals("done")) {
+      log.event("the fleet does not take this process in: " + o.path("why"), "name", config.name());
+      sleep(config.leaseMs() / RENEWALS);
+      return true;
+    }
+    session = o.path("session").asLong();
+    number = 0;
+    told = "";
+    toldDigest = entry.path("digest").asText();
+    // The answer may be that of an earlier attempt: the lease counts from a renewal only, which asks the leader anew.
+    view.forget();
+    renew(asked, until);
+    if (session != 0) {
+      take(o.path("view"));
+      log.event("member of fleet " + config.fleet(), "name", config.name(), "session", session);
+    }
+    return true;
+  }
+
+  private void renew(long asked, long until) {
+    try {
+      ObjectNode o =
+          keepers.call(
+              Json.object().put("op", "renew").put("name", config.name()).put("session", session), until);
+      reachable(true);
+      if (o.path("status").asText().equals("done")) {
+        lease.confirmed(asked);
+      } else {
+        lease.lost();
+        session = 0;
+        log.line("the session is over: joining again");
+      }
+    } catch (UnreachableException e) {
+      reachable(false);
+    }
+  }
+
+  private void reachable(boolean now) {
+    if (now != reachable) {
+      reachable = now;
+      log.line(now ? "keepers can be reached again" : "no keeper can be reached: going on by what is known");
+    }
+  }
+
+  private ObjectNode submit(ObjectNode entry, long until) {
+    try {
+      ObjectNode o = keepers.call(Json.object().put("op", "submit").set("entry", entry), until);
+      reachable(true);
+      if (o.has("error")) {
+        log.line("keepers: " + o.path("error").asText());
+        sleep(config.leaseMs() / RENEWALS);
+        return null;
+      }
+      return o;
+    } catch (UnreachableException e) {
+      reachable(false);
+      return null;
+    }
+  }
+
+  private void hosts(ObjectNode entry) {
+    TreeMap<String, Subject> all = new TreeMap<>();
+    for (DaemonConfig.Pool p : lists.pools().values()) {
+      for (Hosts.Member m : p.members()) {
+        all.putIfAbsent(
+            m.name(), new Subject(Kind.HOST, m.name(), m.zone(), Long.toHexString(m.cell()), p.name(), m.kind()));
+      }
+    }
+    ArrayNode list = Json.object().putArray("hosts");
+    all.values().forEach(s -> Disruption.write(s, list.addObject()));
+    entry.put("digest", Ledger.digest(Json.text(list))).set("hosts", list);
+  }
+
+  private void take(com.fasterxml.jackson.databind.JsonNode news) {
+    long now = System.nanoTime();
+    if (view.take(news, lease.holds(now), now)) {
+      inForce();
+    }
+  }
+
+  private void inForce() {
+    daemon.agreed(view.hostsOut(), view.away());
+    ObjectNode o = Json.object().put("fleet", config.fleet());
+    view.write(o.putObject("view"));
+    String state = Json.text(o);
+    if (config.state() != null && !state.equals(keptState)) {
+      try {
+        Path part = config.state().resolveSibling(config.state().getFileName() + ".part");
+        Files.writeString(part, state);
+        Files.move(part, config.state(), StandardCopyOption.ATOMIC_MOVE);
+        keptState = state;
+      } catch (IOException e) {
+        log.failure(config.state().toString(), e);
+      }
+    }
+  }
+
+  /** Tells what has changed of what it does. */
+  private void tell(long until) {
+    ObjectNode now = Json.object().put("seen", view.version()).put("serving", serving && !leaving && !view.away());
+    Set<String> busy = new TreeSet<>();
+    if (!view.hostsOut().isEmpty()) {
+      busy.addAll(daemon.hosts(Worker::busyHosts));
+      busy.retainAll(view.hostsOut());
+    }
+    busy.forEach(now.putArray("busy")::add);
+    new TreeSet<>(daemon.hosts(Worker::ejectedHosts)).forEach(now.putArray("suspects")::add);
+    ObjectNode hosts = Json.object();
+    hosts(hosts);
+    boolean newLists = !hosts.path("digest").asText().equals(toldDigest);
+    String text = Json.text(now);
+    if (text.equals(told) && !newLists) {
+      return;
+    }
+    now.put("op", "tell").put("name", config.name()).put("session", session).put("number", ++number);
+    if (newLists) {
+      now.setAll(hosts);
+    }
+    ObjectNode o = submit(now, until);
+    if (o != null && o.path("status").asText().equals("done")) {
+      told = text;
+      toldDigest = hosts.path("digest").asText();
+    }
+  }
+
+  private void leave() {
+    long until = System.nanoTime() + LEAVE_MS * 1_000_000L;
+    if (session != 0 && carriesNothing) {
+      submit(Json.object().put("op", "leave").put("name", config.name()).put("session", session), until);
+    }
+    keepers.close();
+    gone.run();
+  }
+
+  private static void sleep(long ms) {
+    try {
+      Thread.sleep(ms);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    thread.interrupt();
+  }
+}
--- a/src/main/java/corkproxy/daemon/OperatorFile.java
+++ b/src/main/java/corkproxy/daemon/OperatorFile.java
@@ -81,8 +81,9 @@
     Map<String, DaemonConfig.Pool> pools = new PoolReader(root, names).read(classes, process);
     List<DaemonConfig.Route> routes = new RouteReader(root, names).read();
     List<Limit> limits = limits();
+    DaemonConfig.Fleet fleet = fleet();
     root.end();
-    return new DaemonConfig(process, listeners, classes, pools, routes, limits);
+    return new DaemonConfig(process, listeners, classes, pools, routes, limits, fleet);
   }
 
   private DaemonConfig.Process process() {
@@ -107,6 +108,42 @@
     return p;
   }
 
+  private DaemonConfig.Fleet fleet() {
+    Section f = root.table("fleet");
+    if (!root.has("fleet")) {
+      return null;
+    }
+    String name = f.text("name", null, "this process's name in the fleet");
+    if (!name.isEmpty()) {
+      Names.take(f, name, new java.util.HashSet<>());
+    }
+    Map<String, InetSocketAddress> keepers = new LinkedHashMap<>();
+    Section k = f.table("keepers");
+    for (String keeper : k.keys()) {
+      keepers.put(keeper, Names.address(k, keeper, false));
+    }
+    if (keepers.isEmpty()) {
+      f.fault("keepers", "none", "keepers by name, as in [fleet.keepers] k1 = \"IP:port\"");
+    }
+    String state = f.text("state_file", "-", "a file, for what is in force when no keeper can be reached at a start");
+    DaemonConfig.Unreachable un = f.word("on_unreachable", DaemonConfig.Unreachable.WAIT, DaemonConfig.Unreachable.class);
+    if (un == DaemonConfig.Unreachable.LAST && state.equals("-")) {
+      f.fault("state_file", "missing", "a file, where on_unreachable is 'last'");
+    }
+    DaemonConfig.Fleet out =
+        new DaemonConfig.Fleet(
+            f.text("fleet", null, "the fleet's name"),
+            name,
+            f.text("zone", "-", "the zone's name"),
+            f.integer("lease_ms", 3_000, 200, 600_000),
+            f.integer("start_wait_ms", 5_000, 0, 600_000),
+            un,
+            state.equals("-") ? null : java.nio.file.Path.of(state),
+            keepers);
+    f.end();
+    return out;
+  }
+
   private Map<String, DaemonConfig.Listener> listeners() {
     Map<String, DaemonConfig.Listener> out = new LinkedHashMap<>();
     Map<InetSocketAddress, String> taken = new HashMap<>();
--- a/src/main/java/corkproxy/daemon/Section.java
+++ b/src/main/java/corkproxy/daemon/Section.java
@@ -216,6 +216,14 @@
     }
   }
 
+  /** The keys of this table, all of which are asked for. */
+  Set<String> keys() {
+    Set<String> out = new LinkedHashSet<>();
+    node.fieldNames().forEachRemaining(out::add);
+    asked.addAll(out);
+    return out;
+  }
+
   /** A table of texts. */
   Map<String, String> map(String key) {
     JsonNode n = ask(key);
--- a/src/main/java/corkproxy/daemon/Version.java
+++ b/src/main/java/corkproxy/daemon/Version.java
@@ -1,5 +1,6 @@
 package corkproxy.daemon;
 
+import corkproxy.balancer.HostEntry;
 import corkproxy.balancer.Settings;
 import corkproxy.engine.ConnectionLimits;
 import corkproxy.engine.Hosts;
@@ -55,8 +56,12 @@
   final Map<String, Set<String>> judged = new HashMap<>();
   final Map<String, Settings.RequestClass> classes = new HashMap<>();
 
+  /** Hosts that are out of service by what the fleet has agreed. */
+  final Set<String> hostsOut;
+
   /** {@code before} is the version that this one follows, or null; {@code unixMs} the time. */
-  Version(DaemonConfig config, Version before, double unixMs) {
+  Version(DaemonConfig config, Set<String> hostsOut, Version before, double unixMs) {
+    this.hostsOut = Set.copyOf(hostsOut);
     this.number = before == null ? 1 : before.number + 1;
     this.config = config;
     this.limiter =
@@ -72,7 +77,9 @@
       classes.put(c.name(), c);
     }
     for (DaemonConfig.Pool pool : config.pools().values()) {
-      pools.put(pool.name(), pool(pool, before == null ? null : before.pools.get(pool.name()), unixMs));
+      pools.put(
+          pool.name(),
+          pool(pool, before == null ? null : before.pools.get(pool.name()), before == null ? Set.of() : before.hostsOut, unixMs));
     }
     List<Target> targets = new ArrayList<>();
     for (DaemonConfig.Route r : config.routes()) {
@@ -122,9 +129,10 @@
   /**
    * The pool's hosts with the times at which they started. Guards rule 4: a server that a new file
    * names for the first time may be cold, so it is taken to have started now; one that stays keeps
-   * its time, and those of the first file have run for long.
+   * its time, and those of the first file have run for long. One that comes back into service may have been started
+   * anew meanwhile. What the fleet has agreed only takes hosts out, never in.
    */
-  private Pool pool(DaemonConfig.Pool pool, Pool before, double unixMs) {
+  private Pool pool(DaemonConfig.Pool pool, Pool before, Set<String> outBefore, double unixMs) {
     Map<String, Hosts.Member> known = new HashMap<>();
     if (before != null) {
       before.members.members().forEach(m -> known.put(m.name(), m));
@@ -132,13 +140,16 @@
     List<Hosts.Member> members = new ArrayList<>();
     for (Hosts.Member m : pool.members()) {
       Hosts.Member old = known.get(m.name());
+      boolean out = hostsOut.contains(m.name());
+      boolean back = before != null && !out && outBefore.contains(m.name());
       double started =
-          old != null && old.address().equals(m.address())
+          old != null && old.address().equals(m.address()) && !back
               ? old.startedUnixMs()
               : number == 1 ? 0 : unixMs;
       members.add(
           new Hosts.Member(
-              m.name(), m.address(), m.zone(), m.kind(), m.cell(), m.condition(), m.weight(), started));
+              m.name(), m.address(), m.zone(), m.kind(), m.cell(),
+              out ? HostEntry.Condition.TERMINATING : m.condition(), m.weight(), started));
     }
     boolean sameBudget =
         before != null
--- a/src/main/java/corkproxy/daemon/Worker.java
+++ b/src/main/java/corkproxy/daemon/Worker.java
@@ -14,9 +14,11 @@
 import io.netty.channel.socket.SocketChannel;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -54,6 +56,7 @@
   private final List<Closing> closing = new ArrayList<>();
   private long seeds;
   private boolean draining;
+  private boolean away;
 
   /** A worker of so many; its part of the budgets is an equal one. */
   Worker(
@@ -117,7 +120,9 @@
       DaemonGate gate = new DaemonGate(this, v, l);
       Front front = fronts.get(l.name());
       if (front == null) {
-        fronts.put(l.name(), new Front(settings(l), gate, transport, sockets, budget, log.with("listener", l.name())));
+        Front fresh = new Front(settings(l), gate, transport, sockets, budget, log.with("listener", l.name()));
+        fresh.sendAway(away);
+        fronts.put(l.name(), fresh);
       } else {
         front.gate(gate);
       }
@@ -176,6 +181,34 @@
     return draining;
   }
 
+  /** Whether requests would be served. */
+  boolean serves() {
+    return !draining && !away;
+  }
+
+  /** Sends clients away, or no longer; who comes all the same is served. */
+  void sendAway(boolean now) {
+    away = now;
+    if (!draining) {
+      fronts.values().forEach(f -> f.sendAway(now));
+    }
+  }
+
+  /** Hosts on which requests are in flight. */
+  Set<String> busyHosts() {
+    Set<String> out = new HashSet<>();
+    pools.values().forEach(p -> out.addAll(p.dispatcher.busyHosts()));
+    leaving.forEach(p -> out.addAll(p.dispatcher.busyHosts()));
+    return out;
+  }
+
+  /** Hosts that a pool's module has ejected. */
+  Set<String> ejectedHosts() {
+    Set<String> out = new HashSet<>();
+    pools.values().forEach(p -> out.addAll(p.dispatcher.ejectedHosts()));
+    return out;
+  }
+
   /** Answers what was taken and asks clients to leave. */
   void drain() {
     draining = true;
--- /dev/null
+++ b/src/main/java/corkproxy/disruption/Disruption.java
@@ -0,0 +1,600 @@
+package corkproxy.disruption;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import corkproxy.disruption.Outcome.Status;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Who is out, and who may go out. A proxy or host is <em>out</em> if it holds a permit, also one that is ending; or
+ * is lost without one (a proxy whose session ended, a host that several proxies have ejected); or has come back and
+ * is not yet what it was (a proxy that settles, a host that warms up). A permit is granted only where with it no
+ * budget has more out than it allows, so losses use budgets up.
+ *
+ * <pre>
+ *   proxy:  unknown --joined--> in --granted--> out --undone--> ending --"I serve"--> settling --time--> in
+ *                               in --lost--> lost --joined--> settling --time--> in
+ *   host:   in --granted--> out --undone--> ending --all proxies have heard--> warming --time--> in
+ * </pre>
+ *
+ * <p>What takes time is named by {@link #timers}; the leader of the keepers counts it and writes its end into the log.
+ */
+public final class Disruption {
+  /** Names of proxies, hosts and budgets. */
+  public static final String NAME = "[A-Za-z0-9_][A-Za-z0-9_.:-]{0,63}";
+
+  private static final int MOST_PERMITS = 10_000;
+  private static final int MOST_MEMBERS = 100_000;
+  private static final long LONGEST_MS = 30L * 24 * 3_600_000;
+
+  /** So many proxies that eject a host make it count as lost (or all that live, where they are fewer). */
+  private static final int SUSPECTERS = 2;
+
+  /** Holds for each kind for which no budget was agreed: one at a time. */
+  private static final int UNBUDGETED = 1;
+
+  /** The times that a fleet goes by (ms). */
+  public record Times(long settleMs, long warmMs, long fenceMs) {}
+
+  private Times times;
+  /** Grows with all that members go by. */
+  private long version;
+
+  /** Grows with each change; makes names of timers that come once. */
+  private long change;
+
+  private long nextPermit = 1;
+  private long budgetsVersion;
+  private String halted = "";
+  private final List<Budget> budgets = new ArrayList<>();
+  private final Map<String, Permit> permits = new TreeMap<>();
+  private final Map<String, Member> members = new TreeMap<>();
+
+  /** Hosts by the digest of the list in which proxies told of them. */
+  private final Map<String, List<Subject>> catalogues = new TreeMap<>();
+
+  /** Hosts that have come back, and the change with which they did. */
+  private final Map<String, Long> warming = new TreeMap<>();
+
+  public Disruption(Times times) {
+    this.times = times;
+  }
+
+  /** Grows with each change of what members go by. */
+  public long version() {
+    return version;
+  }
+
+  // --- what members tell
+
+  /** A proxy's session begins. */
+  public void joined(String name, String zone, String digest, List<Subject> hosts) {
+    Member known = members.get(name);
+    if (known == null && members.size() >= MOST_MEMBERS) {
+      return;
+    }
+    change++;
+    Member m = known == null ? new Member(name) : known;
+    members.put(name, m);
+    m.zone = zone;
+    m.alive = true;
+    m.left = false;
+    m.fenced = false;
+    m.serving = false;
+    m.seen = 0;
+    m.said = 0;
+    m.busy.clear();
+    m.suspects.clear();
+    // One that was never here before takes nothing away while it comes; one that was has been missed.
+    m.settling = known == null ? 0 : change;
+    catalogue(m, digest, hosts);
+  }
+
+  /**
+   * What a proxy tells of itself, by its own number; an earlier word that comes late changes nothing.
+   *
+   * @param seen the version of the ledger that it goes by
+   */
+  public void told(String name, long number, long seen, boolean serving, Set<String> busy, Set<String> suspects) {
+    Member m = members.get(name);
+    if (m == null || !m.alive || number <= m.said) {
+      return;
+    }
+    change++;
+    m.said = number;
+    m.seen = Math.max(m.seen, Math.min(seen, version));
+    if (serving && !m.serving && m.settling > 0) {
+      m.settling = change; // its time counts from when it serves
+    }
+    m.serving = serving;
+    m.busy = new TreeSet<>(busy);
+    Set<String> before = m.suspects;
+    m.suspects = new TreeSet<>(suspects);
+    for (String h : before) {
+      if (!m.suspects.contains(h) && suspectedBy(h) == SUSPECTERS - 1) {
+        warming.put(h, change);
+      }
+    }
+    Permit p = held(Kind.PROXY, name);
+    if (p != null && p.ending() && serving && seen >= p.endSince) {
+      permits.remove(p.id);
+      m.settling = change;
+    }
+    settleHosts();
+  }
+
+  /** The list of hosts that a proxy balances over has changed. */
+  public void catalogued(String name, String digest, List<Subject> hosts) {
+    Member m = members.get(name);
+    if (m != null) {
+      change++;
+      catalogue(m, digest, hosts);
+    }
+  }
+
+  private void catalogue(Member m, String digest, List<Subject> hosts) {
+    m.catalogue = digest;
+    catalogues.putIfAbsent(digest, List.copyOf(hosts));
+    Set<String> used = new TreeSet<>();
+    members.values().forEach(x -> used.add(x.catalogue));
+    catalogues.keySet().retainAll(used);
+  }
+
+  /** A proxy's session ended: with its own word, once it carried nothing, or because nothing was heard of it. */
+  public void ended(String name, boolean byItself) {
+    Member m = members.get(name);
+    if (m == null || !m.alive) {
+      return;
+    }
+    change++;
+    m.alive = false;
+    m.left = byItself;
+    m.serving = false;
+    m.busy.clear();
+    m.suspects.clear();
+    Permit p = held(Kind.PROXY, name);
+    if (p != null && p.ending()) {
+      permits.remove(p.id); // it counts as lost from here on, and hears the truth when it joins
+    }
+    settleHosts();
+  }
+
+  // --- what operators ask
+
+  /** Asks for a proxy or host to be taken out; {@code forMs} 0 is until it is given back. */
+  public Outcome drain(Kind kind, String name, long forMs, String who, String why) {
+    if (forMs < 0 || forMs > LONGEST_MS) {
+      return Outcome.of(Status.MALFORMED, "for_ms: " + forMs + " (expected: 0 to " + LONGEST_MS + ")");
+    }
+    Subject s = subject(kind, name);
+    if (s == null) {
+      return Outcome.of(Status.UNKNOWN, "no " + kind.word() + " '" + name + "'");
+    }
+    Permit p = held(kind, name);
+    if (p != null) {
+      return new Outcome(
+          Status.REFUSED, p.id, List.of(name + " is out already, by permit " + p.id + (p.ending() ? ", which is ending" : "")));
+    }
+    if (!halted.isEmpty()) {
+      return Outcome.of(Status.HALTED, halted);
+    }
+    if (permits.size() >= MOST_PERMITS) {
+      return Outcome.of(Status.REFUSED, "permits: " + permits.size() + " (expected: fewer)");
+    }
+    List<String> no = refusals(s);
+    if (!no.isEmpty()) {
+      return new Outcome(Status.REFUSED, "", no);
+    }
+    change++;
+    version++;
+    Permit granted = new Permit(Long.toString(nextPermit++), s, who, why, forMs, version);
+    permits.put(granted.id, granted);
+    warming.remove(kind == Kind.HOST ? name : "");
+    return new Outcome(Status.GRANTED, granted.id, List.of());
+  }
+
+  /** Gives back what a permit took out. */
+  public Outcome undo(String id, String why) {
+    Permit p = permits.get(id);
+    if (p == null) {
+      return Outcome.of(Status.UNKNOWN, "no permit '" + id + "'");
+    }
+    if (!p.ending()) {
+      change++;
+      version++;
+      p.endSince = version;
+      p.endWhy = why;
+      Member holder = p.of.kind() == Kind.PROXY ? members.get(p.of.name()) : null;
+      if (holder != null && !holder.alive) {
+        permits.remove(id); // lost all the same, until it joins and hears of it
+      }
+      settleHosts();
+    }
+    return new Outcome(Status.DONE, id, List.of());
+  }
+
+  /** From this entry on nothing is granted. */
+  public Outcome halt(String why) {
+    change++;
+    version++;
+    halted = why.isEmpty() ? "halted" : why;
+    return Outcome.of(Status.DONE);
+  }
+
+  public Outcome resume() {
+    change++;
+    version++;
+    halted = "";
+    return Outcome.of(Status.DONE);
+  }
+
+  /** Puts these budgets in force, all of them or none; {@code against} is the version that they replace. */
+  public Outcome budgets(List<Budget> next, long against) {
+    if (against != budgetsVersion) {
+      return Outcome.of(Status.CONFLICT, "budgets are at version " + budgetsVersion + ", not " + against);
+    }
+    Set<String> names = new TreeSet<>();
+    for (Budget b : next) {
+      if (!names.add(b.name())) {
+        return Outcome.of(Status.MALFORMED, "budget " + b.name() + ": a second time (expected: a name of its own)");
+      }
+    }
+    change++;
+    budgetsVersion++;
+    budgets.clear();
+    budgets.addAll(next);
+    return Outcome.of(Status.DONE);
+  }
+
+  /** An operator's word that a lost proxy's process is dead: it can send nothing any more. */
+  public Outcome fence(String name) {
+    Member m = members.get(name);
+    if (m == null) {
+      return Outcome.of(Status.UNKNOWN, "no proxy '" + name + "'");
+    }
+    if (m.alive) {
+      return Outcome.of(Status.REFUSED, name + " has a session that lives");
+    }
+    change++;
+    m.fenced = true;
+    settleHosts();
+    return Outcome.of(Status.DONE);
+  }
+
+  /** Takes a proxy that has gone for good out of all counts. */
+  public Outcome forget(String name) {
+    Member m = members.get(name);
+    if (m == null) {
+      return Outcome.of(Status.UNKNOWN, "no proxy '" + name + "'");
+    }
+    if (m.alive || !m.left && !m.fenced) {
+      return Outcome.of(
+          Status.REFUSED, name + (m.alive ? " has a session that lives" : " was lost and may run: fence it first"));
+    }
+    change++;
+    members.remove(name);
+    Permit p = held(Kind.PROXY, name);
+    if (p != null) {
+      permits.remove(p.id);
+    }
+    settleHosts();
+    return Outcome.of(Status.DONE);
+  }
+
+  // --- time, as the leader has counted it
+
+  /** What runs out, and how long (ms) after it was first named; a name never comes a second time. */
+  public Map<String, Long> timers() {
+    Map<String, Long> out = new LinkedHashMap<>();
+    for (Permit p : permits.values()) {
+      if (p.forMs > 0 && !p.ending()) {
+        out.put("permit:" + p.id, p.forMs + times.fenceMs());
+      }
+    }
+    for (Member m : members.values()) {
+      if (m.settling > 0 && m.alive && m.serving) {
+        out.put("settle:" + m.name + ":" + m.settling, times.settleMs());
+      }
+    }
+    warming.forEach((h, since) -> out.put("warm:" + h + ":" + since, times.warmMs()));
+    return out;
+  }
+
+  /** A timer has run out; one that is not set any more changes nothing. */
+  public void timeout(String timer) {
+    if (!timers().containsKey(timer)) {
+      return;
+    }
+    change++;
+    int from = timer.indexOf(':') + 1;
+    int to = timer.lastIndexOf(':');
+    switch (timer.substring(0, from)) {
+      case "permit:" -> undo(timer.substring(from), "its time was over");
+      case "settle:" -> members.get(timer.substring(from, to)).settling = 0;
+      default -> warming.remove(timer.substring(from, to));
+    }
+  }
+
+  // --- what follows from all that
+
+  /** Why this one is out, or null if it is not. */
+  public String out(Kind kind, String name) {
+    Permit p = held(kind, name);
+    if (p != null) {
+      return (p.ending() ? "permit " + p.id + ", ending" : "permit " + p.id);
+    }
+    if (kind == Kind.HOST) {
+      return suspectedBy(name) >= SUSPECTERS ? "ejected by " + suspectedBy(name) : warming.containsKey(name) ? "warming up" : null;
+    }
+    Member m = members.get(name);
+    if (m == null) {
+      return null;
+    }
+    return !m.alive ? (m.left ? "left" : m.fenced ? "lost, fenced" : "lost") : !m.serving ? "does not serve" : m.settling > 0 ? "settling" : null;
+  }
+
+  private int suspectedBy(String host) {
+    int n = 0;
+    int alive = 0;
+    for (Member m : members.values()) {
+      alive += m.alive ? 1 : 0;
+      n += m.alive && m.suspects.contains(host) ? 1 : 0;
+    }
+    return n > 0 && n == alive ? Math.max(n, SUSPECTERS) : n;
+  }
+
+  private Permit held(Kind kind, String name) {
+    for (Permit p : permits.values()) {
+      if (p.of.kind() == kind && p.of.name().equals(name)) {
+        return p;
+      }
+    }
+    return null;
+  }
+
+  /** All of a kind that the ledger knows, by name. */
+  public Collection<Subject> all(Kind kind) {
+    Map<String, Subject> out = new TreeMap<>();
+    if (kind == Kind.PROXY) {
+      members.values().forEach(m -> out.put(m.name, new Subject(kind, m.name, m.zone, Subject.NONE, Subject.NONE, Subject.NONE)));
+    } else {
+      catalogues.values().forEach(c -> c.forEach(s -> out.putIfAbsent(s.name(), s)));
+      permits.values().stream().filter(p -> p.of.kind() == kind).forEach(p -> out.putIfAbsent(p.of.name(), p.of));
+    }
+    return out.values();
+  }
+
+  private Subject subject(Kind kind, String name) {
+    return all(kind).stream().filter(s -> s.name().equals(name)).findFirst().orElse(null);
+  }
+
+  private List<String> refusals(Subject asked) {
+    List<String> no = new ArrayList<>();
+    Collection<Subject> all = all(asked.kind());
+    boolean any = false;
+    for (Budget b : budgets) {
+      any |= b.of() == asked.kind();
+      if (b.covers(asked)) {
+        List<Subject> group = all.stream().filter(s -> b.covers(s) && b.together(s, asked)).toList();
+        refusal("budget " + b.name(), group, b.allowed(group.size()), asked, no);
+      }
+    }
+    if (!any) {
+      refusal("no budget of " + asked.kind().word() + ": one at a time", List.copyOf(all), UNBUDGETED, asked, no);
+    }
+    if (asked.kind() == Kind.PROXY) {
+      refusal("the last proxy", List.copyOf(all), all.size() - 1, asked, no);
+    } else {
+      List<Subject> pool = all.stream().filter(s -> s.pool().equals(asked.pool())).toList();
+      refusal("the last host of pool " + asked.pool(), pool, pool.size() - 1, asked, no);
+    }
+    return no;
+  }
+
+  private void refusal(String budget, List<Subject> group, int allowed, Subject asked, List<String> no) {
+    List<String> names = new ArrayList<>();
+    for (Subject s : group) {
+      String why = s.name().equals(asked.name()) ? null : out(s.kind(), s.name());
+      if (why != null) {
+        names.add(s.name() + " (" + why + ")");
+      }
+    }
+    if (names.size() + 1 > allowed) {
+      no.add(budget + ": " + names.size() + " out, " + allowed + " allowed" + (names.isEmpty() ? "" : ": " + String.join(", ", names)));
+    }
+  }
+
+  /** A host's permit that ends is gone, and the host warms up, once nobody that lives goes by it any more. */
+  private void settleHosts() {
+    for (Permit p : List.copyOf(permits.values())) {
+      if (p.of.kind() == Kind.HOST
+          && p.ending()
+          && members.values().stream().noneMatch(m -> m.alive && m.seen < p.endSince)) {
+        permits.remove(p.id);
+        change++;
+        warming.put(p.of.name(), change);
+      }
+    }
+  }
+
+  /** Those that have not told that they go by a host's permit and have nothing in flight there; by name, with the reason. */
+  public Map<String, String> awaited(String permit) {
+    Map<String, String> out = new TreeMap<>();
+    Permit p = permits.get(permit);
+    if (p == null || p.of.kind() != Kind.HOST) {
+      return out;
+    }
+    for (Member m : members.values()) {
+      if (m.alive && m.seen < p.since) {
+        out.put(m.name, "has not told that it knows");
+      } else if (m.alive && m.busy.contains(p.of.name())) {
+        out.put(m.name, "has requests in flight there");
+      } else if (!m.alive && !m.left && !m.fenced) {
+        out.put(m.name, "lost: may go on sending there until it is back or fenced");
+      }
+    }
+    return out;
+  }
+
+  /** Whether what a permit takes out is out: the proxy serves no more, or all have acknowledged the host's. */
+  public boolean carriedOut(String permit) {
+    Permit p = permits.get(permit);
+    if (p == null || p.ending()) {
+      return false;
+    }
+    if (p.of.kind() == Kind.HOST) {
+      return awaited(permit).isEmpty();
+    }
+    Member m = members.get(p.of.name());
+    return m == null || m.alive && !m.serving && m.seen >= p.since || m.left || m.fenced;
+  }
+
+  /** What every member must know: the version, who is out by decision, and whether all is halted. */
+  public void view(ObjectNode to) {
+    to.put("version", version).put("halted", !halted.isEmpty());
+    ArrayNode hosts = to.putArray("hosts_out");
+    ObjectNode proxies = to.putObject("proxies_out");
+    for (Permit p : permits.values()) {
+      if (p.ending()) {
+        continue;
+      }
+      if (p.of.kind() == Kind.HOST) {
+        hosts.add(p.of.name());
+      } else {
+        proxies.putObject(p.of.name()).put("permit", p.id).put("for_ms", p.forMs);
+      }
+    }
+  }
+
+  /** All that staff may want to see. */
+  public void status(ObjectNode to) {
+    to.put("version", version).put("halted", halted).put("budgets_version", budgetsVersion);
+    ArrayNode bs = to.putArray("budgets");
+    for (Budget b : budgets) {
+      b.write(bs.addObject());
+    }
+    ArrayNode ps = to.putArray("permits");
+    for (Permit p : permits.values()) {
+      ObjectNode n = ps.addObject();
+      n.put("id", p.id).put("kind", p.of.kind().word()).put("name", p.of.name()).put("who", p.who).put("why", p.why);
+      n.put("for_ms", p.forMs).put("since", p.since).put("state", p.ending() ? "ending" : carriedOut(p.id) ? "out" : "granted");
+      if (p.ending()) {
+        n.put("end_why", p.endWhy);
+      }
+      ObjectNode w = n.putObject("awaited");
+      awaited(p.id).forEach(w::put);
+    }
+    ArrayNode ms = to.putArray("proxies");
+    for (Member m : members.values()) {
+      ObjectNode n = ms.addObject();
+      n.put("name", m.name).put("zone", m.zone).put("session", m.alive).put("serving", m.serving).put("seen", m.seen);
+      n.put("out", out(Kind.PROXY, m.name));
+    }
+    ArrayNode hs = to.putArray("hosts");
+    for (Subject s : all(Kind.HOST)) {
+      hs.addObject().put("name", s.name()).put("zone", s.zone()).put("pod", s.pod()).put("pool", s.pool()).put("kind", s.type())
+          .put("out", out(Kind.HOST, s.name()));
+    }
+  }
+
+  // --- snapshots
+
+  /** The whole state; {@link #restore} of it gives the same state, and so the same outcomes from there on. */
+  public void snapshot(ObjectNode to) {
+    to.put("version", version).put("change", change).put("next_permit", nextPermit).put("budgets_version", budgetsVersion).put("halted", halted);
+    to.put("settle_ms", times.settleMs()).put("warm_ms", times.warmMs()).put("fence_ms", times.fenceMs());
+    ArrayNode bs = to.putArray("budgets");
+    budgets.forEach(b -> b.write(bs.addObject()));
+    ArrayNode ps = to.putArray("permits");
+    for (Permit p : permits.values()) {
+      ObjectNode n = ps.addObject();
+      write(p.of, n.putObject("of"));
+      n.put("id", p.id).put("who", p.who).put("why", p.why).put("for_ms", p.forMs).put("since", p.since);
+      n.put("end_since", p.endSince).put("end_why", p.endWhy);
+    }
+    ArrayNode ms = to.putArray("members");
+    for (Member m : members.values()) {
+      ObjectNode n = ms.addObject();
+      n.put("name", m.name).put("zone", m.zone).put("alive", m.alive).put("left", m.left).put("fenced", m.fenced);
+      n.put("serving", m.serving).put("seen", m.seen).put("said", m.said).put("settling", m.settling).put("catalogue", m.catalogue);
+      m.busy.forEach(n.putArray("busy")::add);
+      m.suspects.forEach(n.putArray("suspects")::add);
+    }
+    ObjectNode cs = to.putObject("catalogues");
+    catalogues.forEach((digest, hosts) -> {
+      ArrayNode a = cs.putArray(digest);
+      hosts.forEach(s -> write(s, a.addObject()));
+    });
+    ObjectNode ws = to.putObject("warming");
+    warming.forEach(ws::put);
+  }
+
+  /** Takes the place of all that is known. */
+  public void restore(JsonNode n) {
+    version = n.path("version").asLong();
+    change = n.path("change").asLong();
+    nextPermit = n.path("next_permit").asLong(1);
+    budgetsVersion = n.path("budgets_version").asLong();
+    halted = n.path("halted").asText("");
+    times = new Times(n.path("settle_ms").asLong(), n.path("warm_ms").asLong(), n.path("fence_ms").asLong());
+    budgets.clear();
+    n.path("budgets").forEach(b -> budgets.add(Budget.read(b, new ArrayList<>())));
+    permits.clear();
+    for (JsonNode p : n.path("permits")) {
+      Permit x =
+          new Permit(
+              p.path("id").asText(), subject(p.path("of")), p.path("who").asText(), p.path("why").asText(),
+              p.path("for_ms").asLong(), p.path("since").asLong());
+      x.endSince = p.path("end_since").asLong();
+      x.endWhy = p.path("end_why").asText();
+      permits.put(x.id, x);
+    }
+    members.clear();
+    for (JsonNode x : n.path("members")) {
+      Member m = new Member(x.path("name").asText());
+      m.zone = x.path("zone").asText();
+      m.alive = x.path("alive").asBoolean();
+      m.left = x.path("left").asBoolean();
+      m.fenced = x.path("fenced").asBoolean();
+      m.serving = x.path("serving").asBoolean();
+      m.seen = x.path("seen").asLong();
+      m.said = x.path("said").asLong();
+      m.settling = x.path("settling").asLong();
+      m.catalogue = x.path("catalogue").asText();
+      x.path("busy").forEach(h -> m.busy.add(h.asText()));
+      x.path("suspects").forEach(h -> m.suspects.add(h.asText()));
+      members.put(m.name, m);
+    }
+    catalogues.clear();
+    n.path("catalogues").properties().forEach(e -> catalogues.put(e.getKey(), subjects(e.getValue())));
+    warming.clear();
+    n.path("warming").properties().forEach(e -> warming.put(e.getKey(), e.getValue().asLong()));
+  }
+
+  /** Hosts as a list of the log holds them. */
+  public static List<Subject> subjects(JsonNode list) {
+    List<Subject> out = new ArrayList<>();
+    list.forEach(s -> out.add(subject(s)));
+    return out;
+  }
+
+  private static Subject subject(JsonNode n) {
+    Kind kind = Kind.of(n.path("what").asText("host"));
+    return new Subject(
+        kind == null ? Kind.HOST : kind, n.path("name").asText(), n.path("zone").asText(Subject.NONE), n.path("pod").asText(Subject.NONE),
+        n.path("pool").asText(Subject.NONE), n.path("kind").asText(Subject.NONE));
+  }
+
+  /** A subject as lists of the log hold it. */
+  public static void write(Subject s, ObjectNode to) {
+    to.put("what", s.kind().word()).put("name", s.name()).put("zone", s.zone()).put("pod", s.pod()).put("pool", s.pool()).put("kind", s.type());
+  }
+}
--- /dev/null
+++ b/src/main/java/corkproxy/disruption/Outcome.java
@@ -0,0 +1,39 @@
+package corkproxy.disruption;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * What became of an entry; every keeper comes to the same.
+ *
+ * @param status see there
+ * @param permit the permit that it is about, or ""
+ * @param why for people: the reasons of a refusal, with the names of those who are out
+ */
+public record Outcome(Status status, String permit, List<String> why) {
+  /** The kinds of outcomes. */
+  public enum Status {
+    /** It has been done. */
+    DONE,
+    /** A permit has been granted. */
+    GRANTED,
+    /** A budget, or a rule that stands above all budgets, says no. */
+    REFUSED,
+    /** Nothing is granted until an operator says so. */
+    HALTED,
+    /** It names what is not known, or not any more. */
+    UNKNOWN,
+    /** It was made against another state, or its id was used for something else. */
+    CONFLICT,
+    /** It can't be read. */
+    MALFORMED;
+
+    public String word() {
+      return name().toLowerCase(Locale.ROOT);
+    }
+  }
+
+  static Outcome of(Status status, String... why) {
+    return new Outcome(status, "", List.of(why));
+  }
+}
--- a/src/main/java/corkproxy/engine/Dispatcher.java
+++ b/src/main/java/corkproxy/engine/Dispatcher.java
@@ -13,6 +13,7 @@
 import java.util.ArrayDeque;
 import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -47,6 +48,7 @@
   private final long startedAt = System.nanoTime();
   private final Map<Long, Exchange> exchanges = new HashMap<>();
   private final ArrayDeque<Event> events = new ArrayDeque<>();
+  private final Set<String> ejected = new HashSet<>(2);
   private boolean running;
   private long nextId;
   private Runnable follow = () -> {};
@@ -137,6 +139,22 @@
     suspicions.heard(now(), from, message);
   }
 
+  /** Hosts on which attempts of this pool are in flight, or wait to be. */
+  public Set<String> busyHosts() {
+    Set<String> busy = new HashSet<>();
+    for (Host h : hosts.all()) {
+      if (h.calls > 0) {
+        busy.add(h.name);
+      }
+    }
+    return busy;
+  }
+
+  /** Hosts that the module has ejected and not readmitted. */
+  public Set<String> ejectedHosts() {
+    return ejected;
+  }
+
   /** Whether any host may get work. */
   public boolean anySendable() {
     return hosts.anySendable();
@@ -185,6 +203,7 @@
       suspicions.members(kind, entries);
     }
     for (Host h : change.cut()) {
+      ejected.remove(h.name);
       // Guards against a send to a host that drains or has moved while its connection comes up.
       for (Attempt a : upstreams.cut(h)) {
         a.moot();
@@ -370,6 +389,11 @@
     if (h == null) {
       log.line(line);
     } else {
+      switch (words[2]) {
+        case "ejected" -> ejected.add(h.name);
+        case "readmitted" -> ejected.remove(h.name);
+        default -> {}
+      }
       log.event("host " + h.name + " " + words[2], "server", h.name);
     }
   }
--- /dev/null
+++ b/src/main/java/corkproxy/quorum/KeeperConfig.java
@@ -0,0 +1,28 @@
+package corkproxy.quorum;
+
+import corkproxy.disruption.Disruption;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Map;
+
+/**
+ * What one keeper is told.
+ *
+ * @param fleet the fleet's name; who calls for another one is turned away
+ * @param name this keeper's name among {@code peers}
+ * @param log where the other keepers reach this one
+ * @param api where members and operators reach it
+ * @param folder where its log and snapshots are
+ * @param peers all keepers, this one among them, by name: where their logs are reached
+ * @param electionMs how long a follower goes without a leader's word before it asks for votes, at least
+ * @param times the fleet's times, which count for the first keeper that ever leads
+ */
+public record KeeperConfig(
+    String fleet,
+    String name,
+    InetSocketAddress log,
+    InetSocketAddress api,
+    Path folder,
+    Map<String, InetSocketAddress> peers,
+    int electionMs,
+    Disruption.Times times) {}
--- /dev/null
+++ b/src/main/java/corkproxy/quorum/LogMachine.java
@@ -0,0 +1,117 @@
+package corkproxy.quorum;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.File;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.concurrent.CompletableFuture;
+import org.apache.ratis.io.MD5Hash;
+import org.apache.ratis.proto.RaftProtos.LogEntryProto;
+import org.apache.ratis.protocol.Message;
+import org.apache.ratis.protocol.RaftGroupId;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.protocol.TermIndex;
+import org.apache.ratis.server.storage.FileInfo;
+import org.apache.ratis.server.storage.RaftStorage;
+import org.apache.ratis.statemachine.StateMachineStorage;
+import org.apache.ratis.statemachine.TransactionContext;
+import org.apache.ratis.statemachine.impl.BaseStateMachine;
+import org.apache.ratis.statemachine.impl.SimpleStateMachineStorage;
+import org.apache.ratis.statemachine.impl.SingleFileSnapshotInfo;
+import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
+import org.apache.ratis.util.MD5FileUtil;
+
+/** Where the library meets the {@link Ledger}: entries that are committed, snapshots, restarts. */
+final class LogMachine extends BaseStateMachine {
+  private final Ledger ledger;
+  private final Runnable changed;
+  private final java.util.function.Consumer<Throwable> fatal;
+  private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
+
+  /** {@code changed} runs after each entry; {@code fatal} is told what this keeper can't go on after. */
+  LogMachine(Ledger ledger, Runnable changed, java.util.function.Consumer<Throwable> fatal) {
+    this.ledger = ledger;
+    this.changed = changed;
+    this.fatal = fatal;
+  }
+
+  @Override
+  public void initialize(RaftServer server, RaftGroupId group, RaftStorage raft) throws IOException {
+    super.initialize(server, group, raft);
+    storage.init(raft);
+    reinitialize();
+  }
+
+  @Override
+  public void reinitialize() throws IOException {
+    SingleFileSnapshotInfo latest = storage.loadLatestSnapshot();
+    if (latest == null) {
+      return;
+    }
+    Path file = latest.getFile().getPath();
+    MD5Hash expected = latest.getFile().getFileDigest();
+    if (expected != null) {
+      MD5FileUtil.verifySavedMD5(file.toFile(), expected);
+    }
+    try {
+      synchronized (ledger) {
+        ledger.restore(Files.readAllBytes(file));
+      }
+    } catch (RuntimeException e) {
+      throw new IOException(file + ": " + e.getMessage(), e);
+    }
+    setLastAppliedTermIndex(latest.getTermIndex());
+    changed.run();
+  }
+
+  @Override
+  public StateMachineStorage getStateMachineStorage() {
+    return storage;
+  }
+
+  @Override
+  public CompletableFuture<Message> applyTransaction(TransactionContext t) {
+    LogEntryProto entry = t.getLogEntry();
+    ObjectNode outcome;
+    try {
+      synchronized (ledger) {
+        outcome = ledger.apply(entry.getStateMachineLogEntry().getLogData().toByteArray());
+        updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
+      }
+    } catch (RuntimeException e) {
+      // An entry that can't be applied here was, or will be, applied by others: to pass it over would be to differ.
+      fatal.accept(e);
+      return CompletableFuture.failedFuture(e);
+    }
+    changed.run();
+    return CompletableFuture.completedFuture(Message.valueOf(ByteString.copyFrom(Json.bytes(outcome))));
+  }
+
+  @Override
+  public CompletableFuture<Message> query(Message request) {
+    return CompletableFuture.completedFuture(Message.EMPTY); // reached only where this keeper has been found to lead
+  }
+
+  @Override
+  public long takeSnapshot() throws IOException {
+    TermIndex at;
+    byte[] bytes;
+    synchronized (ledger) {
+      at = getLastAppliedTermIndex();
+      bytes = ledger.snapshot();
+    }
+    File file = storage.getSnapshotFile(at.getTerm(), at.getIndex());
+    Path part = file.toPath().resolveSibling(file.getName() + ".part");
+    Files.write(part, bytes);
+    try (FileChannel c = FileChannel.open(part, StandardOpenOption.WRITE)) {
+      c.force(true);
+    }
+    Files.move(part, file.toPath(), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+    MD5Hash digest = MD5FileUtil.computeAndSaveMd5ForFile(file);
+    storage.updateLatestSnapshot(new SingleFileSnapshotInfo(new FileInfo(file.toPath(), digest), at));
+    return at.getIndex();
+  }
+}
--- /dev/null
+++ b/src/test/java/corkproxy/quorum/DrainWalkTest.java
@@ -0,0 +1,264 @@
+package corkproxy.quorum;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import corkproxy.disruption.Disruption;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+
+/**
+ * All interleavings of three proxies, two operators, late news, late words, lost sessions and restarts, to a stated
+ * depth, in one thread: who really serves is kept beside the ledger and compared with what it allows.
+ */
+class DrainWalkTest {
+  private static final List<String> PROXIES = List.of("a", "b", "c");
+  private static final int ALLOWED = 1;
+  private static final int DEPTH = 6;
+
+  /** A proxy's process: what it goes by, what it really does, and what it has said that is still on its way. */
+  private static final class Process {
+    boolean runs = true;
+    long session;
+    long number;
+    long seen;
+    boolean serves = true;
+    boolean told;
+    final ArrayDeque<JsonNode> news = new ArrayDeque<>();
+    final ArrayDeque<byte[]> words = new ArrayDeque<>();
+  }
+
+  private record Step(String name, Runnable what) {}
+
+  /** One state of the whole, made anew by its steps. */
+  private final class World {
+    final Ledger ledger = new Ledger(new Disruption.Times(10, 10, 10));
+    final Map<String, Process> processes = new HashMap<>();
+    final Set<String> permits = new TreeSet<>();
+    int crashes;
+    long sent;
+    String broken;
+
+    World() {
+      for (String p : PROXIES) {
+        processes.put(p, new Process());
+        join(p);
+        processes.get(p).news.clear();
+        tell(p);
+        ledger.apply(processes.get(p).words.remove());
+      }
+    }
+
+    ObjectNode apply(ObjectNode e) {
+      ObjectNode o = ledger.apply(Json.bytes(e));
+      JsonNode view = ledger.view();
+      if (view.path("version").asLong() > sent) {
+        sent = view.path("version").asLong();
+        processes.forEach((n, p) -> {
+          if (p.runs && p.session > 0 && ledger.lives(n, p.session)) {
+            p.news.add(view);
+          }
+        });
+      }
+      return o;
+    }
+
+    void join(String name) {
+      Process p = processes.get(name);
+      ObjectNode o =
+          apply(Json.object().put("op", "join").put("name", name).put("incarnation", name + crashes).put("lease_ms", 1_000));
+      if (o.path("status").asText().equals("done")) {
+        p.session = o.path("session").asLong();
+        p.number = 0;
+        p.words.clear();
+        p.news.clear();
+        take(name, o.path("view"));
+      }
+    }
+
+    /** Goes by news, or by an answer to its joining, and says so. */
+    void take(String name, JsonNode view) {
+      Process p = processes.get(name);
+      if (view.path("version").asLong() < p.seen) {
+        return;
+      }
+      p.seen = view.path("version").asLong();
+      p.serves = !view.path("proxies_out").has(name);
+      tell(name);
+    }
+
+    void tell(String name) {
+      Process p = processes.get(name);
+      p.words.add(
+          Json.bytes(
+              Json.object().put("op", "tell").put("name", name).put("session", p.session).put("number", ++p.number)
+                  .put("seen", p.seen).put("serving", p.serves)));
+    }
+
+    /** What can happen next. */
+    List<Step> steps() {
+      List<Step> out = new ArrayList<>();
+      for (String n : PROXIES) {
+        Process p = processes.get(n);
+        boolean lives = p.session > 0 && ledger.lives(n, p.session);
+        if (p.runs && lives && !p.news.isEmpty()) {
+          out.add(new Step("news " + n, () -> take(n, p.news.remove())));
+        }
+        if (!p.words.isEmpty()) {
+          out.add(new Step("word " + n, () -> apply(Json.read(p.words.remove()))));
+        }
+        if (p.runs && crashes < 1) {
+          out.add(new Step("crash " + n, () -> {
+            crashes++;
+            p.runs = false;
+            p.serves = false;
+            p.news.clear();
+            p.words.clear();
+          }));
+          out.add(new Step("cut off " + n, () -> {
+            crashes++;
+            p.news.clear();
+            apply(Ledger.ranOut(Ledger.timer(n, p.session))); // its lease is over before this is said: see LeaseTest
+          }));
+        }
+        if (!p.runs && lives) {
+          out.add(new Step("expire " + n, () -> apply(Ledger.ranOut(Ledger.timer(n, p.session)))));
+        }
+        if (!lives) {
+          out.add(new Step("join " + n, () -> {
+            p.runs = true;
+            p.seen = 0;
+            join(n);
+          }));
+        }
+      }
+      for (String n : List.of("a", "b")) {
+        out.add(new Step("drain " + n, () -> {
+          ObjectNode o = apply(Json.object().put("op", "drain").put("kind", "proxy").put("name", n).put("for_ms", 50));
+          if (o.has("permit")) {
+            permits.add(o.path("permit").asText());
+          }
+        }));
+      }
+      for (String id : permits) {
+        out.add(new Step("undo " + id, () -> apply(Json.object().put("op", "undo").put("permit", id))));
+      }
+      for (String t : ledger.timers().keySet()) {
+        if (!t.startsWith("session:")) {
+          out.add(new Step("time " + t, () -> apply(Ledger.ranOut(t))));
+        }
+      }
+      return out;
+    }
+
+    /** Those that are out by decision, not by the walk's own crash. */
+    Set<String> out() {
+      Set<String> out = new TreeSet<>();
+      processes.forEach((n, p) -> {
+        if (p.runs && !p.serves) {
+          out.add(n);
+        }
+      });
+      return out;
+    }
+
+    /** The state but for numbers that only count up: what matters of those is their order. */
+    String key() {
+      ObjectNode o = Json.read(ledger.snapshot());
+      o.remove(List.of("audit", "entries", "calls"));
+      StringBuilder s = new StringBuilder(Json.text(o));
+      processes.forEach((n, p) -> {
+        s.append(n).append(p.runs).append(p.serves).append("\"seen\":").append(p.seen).append("\"id\":").append(p.session);
+        p.news.forEach(v -> s.append(Json.text(v)));
+        p.words.forEach(w -> s.append(new String(w, StandardCharsets.UTF_8)));
+      });
+      return HexFormat.of().formatHex(digest(ranked(s.append(crashes).toString())));
+    }
+  }
+
+  private static String ranked(String text) {
+    String out = text;
+    for (String names : List.of("version|since|end_since|seen", "change|settling", "said|number", "id|session")) {
+      Pattern counted = Pattern.compile("\"(" + names + ")\":(\\d+)");
+      TreeSet<Long> values = new TreeSet<>();
+      counted.matcher(out).results().forEach(r -> values.add(Long.parseLong(r.group(2))));
+      Map<Long, Integer> ranks = new HashMap<>();
+      values.forEach(v -> ranks.put(v, v == 0 ? 0 : ranks.size() + 1));
+      out = counted.matcher(out).replaceAll(r -> "\"" + r.group(1) + "\":" + ranks.get(Long.parseLong(r.group(2))));
+    }
+    return out;
+  }
+
+  private static byte[] digest(String text) {
+    try {
+      return MessageDigest.getInstance("MD5").digest(text.getBytes(StandardCharsets.UTF_8));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private int walk(int depth, Predicate<World> promise, List<String> found) {
+    Set<String> seen = new HashSet<>();
+    record Path(List<Integer> taken, int steps) {}
+    List<Path> front = List.of(new Path(List.of(), new World().steps().size()));
+    for (int d = 0; d < depth && found.isEmpty(); d++) {
+      List<Path> next = new ArrayList<>();
+      for (Path path : front) {
+        for (int i = 0; i < path.steps(); i++) {
+          List<Integer> longer = new ArrayList<>(path.taken());
+          longer.add(i);
+          World w = replay(longer);
+          if (!promise.test(w)) {
+            found.add(names(longer).toString());
+            return seen.size();
+          }
+          if (seen.add(w.key())) {
+            next.add(new Path(longer, w.steps().size()));
+          }
+        }
+      }
+      front = next;
+    }
+    return seen.size();
+  }
+
+  private World replay(List<Integer> path) {
+    World w = new World();
+    path.forEach(i -> w.steps().get(i).what().run());
+    return w;
+  }
+
+  private List<String> names(List<Integer> path) {
+    World w = new World();
+    List<String> out = new ArrayList<>();
+    for (int i : path) {
+      Step s = w.steps().get(i);
+      out.add(s.name());
+      s.what().run();
+    }
+    return out;
+  }
+
+  @Test
+  void neverMoreProxiesAreOutByDecisionThanAllowed() {
+    List<String> found = new ArrayList<>();
+    int states = walk(DEPTH, w -> w.out().size() <= ALLOWED, found);
+    System.out.println("drains walked: " + states + " states to a depth of " + DEPTH);
+    assertThat(found).isEmpty();
+    assertThat(states).isGreaterThan(1_000);
+  }
+}
