Start keepers and daemons with broken links between them, and judge drains from outside

Need: drains agreed across the fleet are promises about several processes, and only processes with faults between them show whether they hold. The rig starts keepers and daemons, leads every link through a relay, and judges by probes, hosts, clients and its own clock. Eleven hard cases with processes pass.

--- a/src/main/java/corkproxy/cli/Corkproxy.java
+++ b/src/main/java/corkproxy/cli/Corkproxy.java
@@ -13,6 +13,7 @@
       DaemonCommand.class,
       KeeperCommand.class,
       FleetCommand.class,
+      FaultsCommand.class,
       CheckCommand.class,
       StandInCommand.class,
       LoadCommand.class,
--- a/src/main/java/corkproxy/standin/Ledger.java
+++ b/src/main/java/corkproxy/standin/Ledger.java
@@ -70,6 +70,11 @@
     return out;
   }
 
+  /** Shows every recorded id with its runs. */
+  public void visit(java.util.function.BiConsumer<String, List<Execution>> each) {
+    byId.keySet().forEach(id -> each.accept(id, of(id)));
+  }
+
   /** Whether every repeat of a keyed request ran in the pod of the one before, within the window. */
   public boolean repeatsKept(String id, long windowMs) {
     List<Execution> runs = of(id);
--- /dev/null
+++ b/src/test/java/corkproxy/standin/FleetProcessesTest.java
@@ -0,0 +1,280 @@
+package corkproxy.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Three keepers and four daemons as processes, one of each kind allowed out, and faults between them. */
+class FleetProcessesTest {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final long PATIENCE_MS = 20_000;
+  private static final AtomicInteger IDS = new AtomicInteger();
+
+  @TempDir private static Path folder;
+  private static FaultRun rig;
+
+  @BeforeAll
+  static void start() throws Exception {
+    rig = new FaultRun(new FaultRun.Plan(3, 4, 4, 60, 1, FaultRun.Sabotage.NONE, 40), folder);
+    rig.start();
+  }
+
+  @AfterAll
+  static void end() throws IOException {
+    rig.close();
+  }
+
+  @AfterEach
+  void giveBack() throws Exception {
+    for (JsonNode p : status().path("permits")) {
+      undo(p.path("id").asText());
+    }
+    rig.heal();
+  }
+
+  private static String id() {
+    return "call-" + IDS.incrementAndGet();
+  }
+
+  private static JsonNode status() {
+    return rig.operator().ask(MAPPER.createObjectNode().put("op", "status"), 0, PATIENCE_MS);
+  }
+
+  private static ObjectNode drainOf(String kind, String name) {
+    return Operator.entry("drain").put("kind", kind).put("name", name);
+  }
+
+  private static JsonNode drain(String kind, String name) {
+    return rig.operator().change(drainOf(kind, name), id(), 0, PATIENCE_MS);
+  }
+
+  private static JsonNode undo(String permit) {
+    return rig.operator().change(Operator.entry("undo").put("permit", permit), id(), 0, PATIENCE_MS);
+  }
+
+  private static String word(JsonNode o) {
+    return o == null ? "nothing" : o.path("status").asText();
+  }
+
+  private static void await(BooleanSupplier c) throws InterruptedException {
+    long until = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+    while (!c.getAsBoolean()) {
+      assertThat(System.nanoTime()).as("within " + PATIENCE_MS + " ms").isLessThan(until);
+      Thread.sleep(20);
+    }
+  }
+
+  private static String out(String kind, String name) {
+    for (JsonNode n : status().path(kind)) {
+      if (n.path("name").asText().equals(name)) {
+        return n.path("out").asText();
+      }
+    }
+    return "unknown";
+  }
+
+  /** The status of a request at a proxy, 0 for none. */
+  private static int request(String proxy, String id) {
+    try (Socket s = new Socket()) {
+      s.connect(rig.front(proxy), 2_000);
+      s.setSoTimeout(5_000);
+      s.getOutputStream()
+          .write(("GET /list HTTP/1.1\r\nHost: t\r\nX-Request-ID: " + id + "\r\nConnection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+      return Integer.parseInt(new String(s.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).substring(9));
+    } catch (IOException e) {
+      return 0;
+    }
+  }
+
+  @Test
+  void oneProxyIsOutAndTheNextIsRefusedAcrossACutLink() throws Exception {
+    String leader = rig.leader();
+    String other = leader.equals("k1") ? "k2" : "k1";
+    rig.link(leader, other).cut(true, false);
+    rig.link(other, leader).cut(false, true);
+    JsonNode first = drain("proxy", "p1");
+    assertThat(word(first)).isEqualTo("granted");
+    await(() -> rig.saysNo("p1"));
+    JsonNode second = drain("proxy", "p2");
+    assertThat(word(second)).isEqualTo("refused");
+    assertThat(second.path("why").toString()).contains("p1");
+    assertThat(rig.serves("p2")).isTrue();
+    undo(first.path("permit").asText());
+    await(() -> rig.serves("p1"));
+  }
+
+  @Test
+  void ofTwoDrainsAtTwoKeepersForOnePlaceOneIsGranted() throws Exception {
+    List<CompletableFuture<JsonNode>> asked = new ArrayList<>();
+    for (int i = 0; i < 2; i++) {
+      int n = i;
+      asked.add(
+          CompletableFuture.supplyAsync(
+              () -> rig.operator().change(drainOf("proxy", "p" + (n + 2)), id(), n, PATIENCE_MS)));
+    }
+    List<String> words = new ArrayList<>();
+    for (CompletableFuture<JsonNode> f : asked) {
+      words.add(word(f.get()));
+    }
+    assertThat(words).containsExactlyInAnyOrder("granted", "refused");
+  }
+
+  @Test
+  void aDrainWhoseLeaderIsKilledHasOneOutcomeWhenAskedAgain() throws Exception {
+    String leader = rig.leader();
+    String id = id();
+    CompletableFuture<JsonNode> first =
+        CompletableFuture.supplyAsync(() -> rig.operatorAt(leader).change(drainOf("host", "h1"), id, 0, 1_000));
+    rig.keeper(leader).kill();
+    first.get();
+    JsonNode again = rig.operator().change(drainOf("host", "h1"), id, 0, PATIENCE_MS);
+    JsonNode other = rig.operator().change(drainOf("host", "h2"), id, 0, PATIENCE_MS);
+    rig.keeper(leader).start();
+    assertThat(word(again)).isEqualTo("granted");
+    assertThat(word(other)).as("the id was used for something else").isEqualTo("conflict");
+    assertThat(status().path("permits")).hasSize(1);
+  }
+
+  @Test
+  void aLeaderThatIsCutOffWithAMinorityGrantsNothing() throws Exception {
+    String leader = rig.leader();
+    rig.isolate(leader);
+    JsonNode alone = rig.operatorAt(leader).change(drainOf("proxy", "p3"), id(), 0, 3_000);
+    assertThat(word(alone)).isEqualTo("nothing");
+    JsonNode most = drain("proxy", "p4");
+    assertThat(word(most)).isEqualTo("granted");
+    rig.mend();
+    await(() -> rig.saysNo("p4"));
+    // What the cut-off leader had in its log and nobody confirmed is not there afterwards, or was refused.
+    assertThat(rig.serves("p3")).isTrue();
+    assertThat(status().path("permits")).hasSize(1);
+  }
+
+  @Test
+  void aProxyStoppedForThreeLeasesDoesNotGoOutByAGrantThatHasEnded() throws Exception {
+    rig.proxy("p1").stop();
+    JsonNode granted = drain("proxy", "p1");
+    assertThat(word(granted)).isEqualTo("granted");
+    undo(granted.path("permit").asText());
+    await(() -> out("proxies", "p1").startsWith("lost"));
+    assertThat(word(drain("proxy", "p2"))).as("who is lost uses the budget up").isEqualTo("refused");
+    Set<Boolean> seen = new TreeSet<>();
+    rig.proxy("p1").resume();
+    long until = System.nanoTime() + 3_000_000_000L;
+    while (System.nanoTime() < until) {
+      seen.add(rig.saysNo("p1"));
+      Thread.sleep(10);
+    }
+    assertThat(seen).containsExactly(false);
+    await(() -> rig.serves("p1"));
+  }
+
+  @Test
+  void aKilledProxyUsesTheBudgetUpAndItsReturnGivesItBack() throws Exception {
+    rig.proxy("p2").kill();
+    await(() -> out("proxies", "p2").equals("lost"));
+    JsonNode no = drain("proxy", "p3");
+    assertThat(word(no)).isEqualTo("refused");
+    assertThat(no.path("why").toString()).contains("p2 (lost)");
+    rig.proxy("p2").start();
+    await(() -> word(drain("proxy", "p3")).equals("granted"));
+  }
+
+  @Test
+  void aProxyThatIsToldToEndCountsAsOutAndCanBeForgotten() throws Exception {
+    assertThat(rig.proxy("p4").end(PATIENCE_MS)).isZero();
+    await(() -> out("proxies", "p4").equals("left"));
+    assertThat(word(drain("proxy", "p3"))).isEqualTo("refused");
+    rig.proxy("p4").start();
+    await(() -> rig.serves("p4"));
+  }
+
+  @Test
+  void allKeepersRestartedForgetNothingAndRequestsGoOnMeanwhile() throws Exception {
+    JsonNode granted = drain("proxy", "p1");
+    await(() -> rig.saysNo("p1"));
+    for (String k : List.of("k1", "k2", "k3")) {
+      rig.keeper(k).kill();
+    }
+    for (int i = 0; i < 50; i++) {
+      assertThat(request("p" + (2 + i % 3), "gone-" + i)).isEqualTo(200);
+    }
+    assertThat(rig.saysNo("p1")).isTrue();
+    for (String k : List.of("k1", "k2", "k3")) {
+      rig.keeper(k).start();
+    }
+    assertThat(word(drain("proxy", "p2"))).isEqualTo("refused");
+    assertThat(status().path("permits").path(0).path("id")).isEqualTo(granted.path("permit"));
+    undo(granted.path("permit").asText());
+    await(() -> rig.serves("p1"));
+  }
+
+  @Test
+  void aDrainedHostGetsNothingAlsoFromAProxyThatRestarts() throws Exception {
+    JsonNode granted = drain("host", "h1");
+    String permit = granted.path("permit").asText();
+    await(
+        () ->
+            rig.operator().ask(MAPPER.createObjectNode().put("op", "permit").put("permit", permit), 0, PATIENCE_MS)
+                .path("carried_out").asBoolean());
+    rig.proxy("p3").kill();
+    rig.proxy("p3").start();
+    await(() -> !rig.serves("p3"));
+    int[] served = {0};
+    await(() -> request("p3", "after-" + served[0]) == 200 && ++served[0] >= 100);
+    for (int i = 0; i < 100; i++) {
+      assertThat(request("p" + (1 + i % 2), "beside-" + i)).isEqualTo(200);
+    }
+    Set<String> at = new TreeSet<>();
+    rig.ledger().visit((id, runs) -> {
+      if (id.startsWith("after-") || id.startsWith("beside-")) {
+        runs.forEach(r -> at.add(r.host()));
+      }
+    });
+    assertThat(at).doesNotContain("h1").hasSize(3);
+  }
+
+  @Test
+  void ofManyDrainsAtOnceOneIsGranted() throws Exception {
+    List<CompletableFuture<String>> asked = new ArrayList<>();
+    for (int i = 0; i < 200; i++) {
+      int n = i;
+      asked.add(
+          CompletableFuture.supplyAsync(
+              () -> word(rig.operator().change(drainOf("host", "h" + (1 + n % 4)), id(), n, PATIENCE_MS))));
+    }
+    int granted = 0;
+    for (CompletableFuture<String> f : asked) {
+      String w = f.get();
+      assertThat(w).isIn("granted", "refused");
+      granted += w.equals("granted") ? 1 : 0;
+    }
+    assertThat(granted).isEqualTo(1);
+  }
+
+  @Test
+  void aHaltStopsGrantsUntilResumed() {
+    assertThat(word(rig.operator().change(Operator.entry("halt"), id(), 1, PATIENCE_MS))).isEqualTo("done");
+    assertThat(word(drain("host", "h3"))).isEqualTo("halted");
+    assertThat(word(rig.operator().change(Operator.entry("resume"), id(), 2, PATIENCE_MS))).isEqualTo("done");
+    assertThat(word(drain("host", "h3"))).isEqualTo("granted");
+  }
+}
