--- a/src/main/java/corkproxy/http/ClientConnection.java
+++ b/src/main/java/corkproxy/http/ClientConnection.java
@@ -393,9 +393,12 @@
     return now - idleSince > front.settings().idleLeastMs() * 1_000_000L ? 2 : -1;
   }
 
-  /** Whether its client is sent away and has had time to use it once more. */
+  /**
+   * Whether its client is sent away and has had time to use it once more. The daemon closes none for that: its next answer
+   * asks to leave, and a request that crosses a close would be lost.
+   */
   private boolean away(long now) {
-    long since = front.awaySince();
+    long since = front.settings().daemon() ? 0 : front.awaySince();
     return since != 0
         && (spoken
             ? now - Math.max(idleSince, since) > AWAY_NANOS
--- a/src/test/java/corkproxy/standin/FleetProcessesTest.java
+++ b/src/test/java/corkproxy/standin/FleetProcessesTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -277,4 +278,109 @@
     assertThat(word(rig.operator().change(Operator.entry("resume"), id(), 2, PATIENCE_MS))).isEqualTo("done");
     assertThat(word(drain("host", "h3"))).isEqualTo("granted");
   }
+
+  private static long expired() {
+    long n = 0;
+    for (JsonNode h : rig.operator().ask(MAPPER.createObjectNode().put("op", "status").put("history", true), 0, PATIENCE_MS).path("history")) {
+      n += h.path("op").asText().equals("expire") ? 1 : 0;
+    }
+    return n;
+  }
+
+  @Test
+  void keepersStoppedForThreeLeasesAndContinuedTakeNobodyForDead() throws Exception {
+    long before = expired();
+    for (String k : List.of("k1", "k2", "k3")) {
+      rig.keeper(k).stop();
+    }
+    Thread.sleep(3 * FaultRun.LEASE_MS);
+    for (int i = 0; i < 20; i++) {
+      assertThat(request("p" + (1 + i % 4), "stopped-" + i)).isEqualTo(200);
+    }
+    for (String k : List.of("k1", "k2", "k3")) {
+      rig.keeper(k).resume();
+    }
+    rig.leader();
+    Thread.sleep(FaultRun.LEASE_MS);
+    assertThat(expired()).isEqualTo(before);
+    assertThat(word(drain("proxy", "p1"))).isEqualTo("granted");
+  }
+
+  @Test
+  void aLeaderStoppedForThreeLeasesAndContinuedGrantsNothingByItself() throws Exception {
+    String leader = rig.leader();
+    rig.keeper(leader).stop();
+    assertThat(word(drain("proxy", "p1"))).isEqualTo("granted");
+    Thread.sleep(3 * FaultRun.LEASE_MS);
+    rig.keeper(leader).resume();
+    JsonNode o = rig.operatorAt(leader).change(drainOf("proxy", "p2"), id(), 0, 500);
+    assertThat(word(o)).isIn("nothing", "refused");
+    assertThat(status().path("permits")).hasSize(1);
+  }
+
+  @Test
+  void aPermitRunsOutWhileItsHolderIsCutOffAndNobodyElseGoesOutMeanwhile() throws Exception {
+    JsonNode granted = rig.operator().change(drainOf("proxy", "p1").put("for_ms", 2_000), id(), 0, PATIENCE_MS);
+    assertThat(word(granted)).isEqualTo("granted");
+    await(() -> rig.saysNo("p1"));
+    for (String k : List.of("k1", "k2", "k3")) {
+      rig.link("p1", k).cut(true, true);
+    }
+    while (!rig.serves("p1")) {
+      assertThat(word(drain("proxy", "p2"))).isEqualTo("refused");
+    }
+    assertThat(word(drain("proxy", "p2"))).as("lost now, and counted").isEqualTo("refused");
+    rig.mend();
+    await(() -> word(drain("proxy", "p2")).equals("granted"));
+    assertThat(rig.serves("p1")).isTrue();
+  }
+
+  @Test
+  void aSecondProcessOfANameDoesNotServeWhileTheFirstLives() throws Exception {
+    String file = Files.readString(folder.resolve("p1.toml"));
+    Path second = Files.writeString(folder.resolve("p1-second.toml"), file.replaceFirst("(?s)\\[listener.main]\naddress = \"[^\"]*\"", "[listener.main]\naddress = \"127.0.0.1:0\""));
+    Path log = folder.resolve("p1-second.log");
+    List<String> command = Child.program(64, "daemon", "--config", second.toString());
+    try (Child c = new Child("p1-second", command, command, log)) {
+      c.start();
+      await(() -> read(log).contains("in use by a process whose lease is not over"));
+      assertThat(read(log)).doesNotContain("ready");
+      assertThat(rig.serves("p1")).isTrue();
+      rig.proxy("p1").kill();
+      await(() -> read(log).contains("ready"));
+    }
+    rig.proxy("p1").start();
+  }
+
+  @Test
+  void aKeeperWithALogTornAtItsLastRecordComesBackAndFollows() throws Exception {
+    assertThat(word(drain("host", "h2"))).isEqualTo("granted");
+    String torn = rig.leader().equals("k3") ? "k2" : "k3";
+    rig.keeper(torn).kill();
+    Path log;
+    try (var all = Files.walk(folder.resolve(torn))) {
+      log = all.filter(f -> f.getFileName().toString().startsWith("log_inprogress")).findFirst().orElseThrow();
+    }
+    byte[] bytes = Files.readAllBytes(log);
+    int end = bytes.length;
+    while (bytes[end - 1] == 0) {
+      end--;
+    }
+    Files.write(log, java.util.Arrays.copyOf(bytes, end - 3));
+    rig.keeper(torn).start();
+    await(() -> {
+      JsonNode h = rig.operatorAt(torn).ask(MAPPER.createObjectNode().put("op", "health"), 0, 500);
+      JsonNode l = rig.operator().ask(MAPPER.createObjectNode().put("op", "status"), 0, 500);
+      return h != null && l != null && h.path("applied").asLong() > 0 && !h.path("leader").asText().isEmpty();
+    });
+    assertThat(status().path("permits")).hasSize(1);
+  }
+
+  private static String read(Path file) {
+    try {
+      return Files.exists(file) ? Files.readString(file) : "";
+    } catch (IOException e) {
+      return "";
+    }
+  }
 }
