--- a/src/main/java/corkproxy/standin/FaultRun.java
+++ b/src/main/java/corkproxy/standin/FaultRun.java
@@ -95,6 +95,11 @@
     return links.computeIfAbsent(from + ">" + to, k -> new Relay.Link());
   }
 
+  /** The name by which its keepers are asked. */
+  public String fleet() {
+    return fleet;
+  }
+
   public Child keeper(String name) {
     return keepers.get(name);
   }
--- a/src/test/java/corkproxy/cli/CommandsTest.java
+++ b/src/test/java/corkproxy/cli/CommandsTest.java
@@ -62,6 +62,42 @@
     assertThat(json.path("faults").findValuesAsText("key")).contains("daemon.workers");
   }
 
+  private static String keeper(String name, String folder, String more) {
+    return "[keeper]\nfleet = \"f\"\nname = \"" + name + "\"\nlog_address = \"127.0.0.1:9\"\napi_address = \"127.0.0.1:9\"\nfolder = \""
+        + folder + "\"\n" + more + "[peer.k1]\nlog_address = \"127.0.0.1:9\"\n";
+  }
+
+  @Test
+  void aKeeperTellsEveryFaultOfItsFileAndTakesNoFolderThatIsNotItsOwn() throws Exception {
+    Path faulty =
+        Files.writeString(folder.resolve("k.toml"), keeper("k2", "x", "election_ms = 1\ncolour = 3\n") + "[peer.k3]\nlog_address = \"9\"\n");
+    Run faults = run("keeper", "--config", faulty.toString());
+    assertThat(faults.status()).isEqualTo(2);
+    assertThat(faults.err())
+        .contains("k.toml:7: keeper.election_ms", "k.toml:8: keeper.colour", "peer.k3.log_address", "none named 'k2'", "2 keepers");
+    Path lost = folder.resolve("lost");
+    Path sound = Files.writeString(folder.resolve("s.toml"), keeper("k1", lost.toString(), ""));
+    Run empty = run("keeper", "--config", sound.toString());
+    assertThat(empty.status()).isEqualTo(2);
+    assertThat(empty.err()).contains("no keeper's log", "--new");
+    Files.createDirectories(lost);
+    Files.writeString(lost.resolve("keeper"), "f/k7\n");
+    Run other = run("keeper", "--config", sound.toString(), "--new");
+    assertThat(other.status()).isEqualTo(2);
+    assertThat(other.err()).contains("of keeper f/k7 (expected: of f/k1)");
+  }
+
+  @Test
+  void fleetSaysThatNoKeeperCanBeReachedAndWhatABudgetLacks() throws Exception {
+    Run gone = run("fleet", "halt", "--why", "x", "--fleet", "f", "--keeper", "k1=127.0.0.1:9", "--timeout-s", "0.5", "--json");
+    assertThat(gone.status()).isEqualTo(5);
+    assertThat(new ObjectMapper().readTree(gone.out()).path("status").asText()).isEqualTo("unreachable");
+    Path budgets = Files.writeString(folder.resolve("b.toml"), "[[budget]]\nname = \"a\"\nof = \"cat\"\n[[budget]]\nname = \"b\"\nof = \"host\"\n");
+    Run none = run("fleet", "budgets", budgets.toString(), "--why", "x", "--fleet", "f", "--keeper", "k1=127.0.0.1:9");
+    assertThat(none.status()).isEqualTo(2);
+    assertThat(none.err()).contains("b.toml:1", "expected: proxy or host", "b.toml:4", "no bound");
+  }
+
   @Test
   void argumentsThatAreNoneEndWithTwoAndHelpWithNought() throws Exception {
     assertThat(run().status()).isEqualTo(2);
--- a/src/test/java/corkproxy/daemon/OperatorFileTest.java
+++ b/src/test/java/corkproxy/daemon/OperatorFileTest.java
@@ -36,6 +36,17 @@
     return e == null ? List.of() : e.faults();
   }
 
+  @Test
+  void aFleetTakesAllThatItNeedsOrTellsEveryFault() throws Exception {
+    String sound = "[fleet]\nfleet = \"f\"\nname = \"p1\"\nlease_ms = 1000\n[fleet.keepers]\nk1 = \"127.0.0.1:9\"\n";
+    DaemonConfig.Fleet f = OperatorFile.parse("f", SMALL + sound).fleet();
+    assertThat(f.keepers()).containsOnlyKeys("k1");
+    assertThat(f.onUnreachable()).isEqualTo(DaemonConfig.Unreachable.WAIT);
+    assertThat(OperatorFile.parse("f", SMALL).fleet()).isNull();
+    assertThat(faults(SMALL + "[fleet]\nname = \"a b\"\nlease_ms = 5\non_unreachable = \"last\"\n").stream().map(Fault::key))
+        .contains("fleet", "fleet.lease_ms", "fleet.keepers", "fleet.state_file", "fleet.fleet");
+  }
+
   @Test
   void theShippedFileIsSound() throws Exception {
     DaemonConfig c = OperatorFile.read(SHIPPED);
