--- a/src/main/java/corkproxy/daemon/KeeperFile.java
+++ b/src/main/java/corkproxy/daemon/KeeperFile.java
@@ -35,6 +35,7 @@
     InetSocketAddress api = Names.address(k, "api_address", false);
     String folder = k.text("folder", null, "the folder of its log");
     int election = k.integer("election_ms", 300, 50, 60_000);
+    int snapshot = k.integer("snapshot_entries", 20_000, 50, 10_000_000);
     k.end();
     Section f = root.table("fleet");
     Disruption.Times times =
@@ -56,7 +57,7 @@
     }
     root.end();
     end(source);
-    return new KeeperConfig(fleet, name, log, api, Path.of(folder), peers, election, times);
+    return new KeeperConfig(fleet, name, log, api, Path.of(folder), peers, election, snapshot, times);
   }
 
   /**
--- a/src/main/java/corkproxy/quorum/Keeper.java
+++ b/src/main/java/corkproxy/quorum/Keeper.java
@@ -46,9 +46,6 @@
   private static final int TICK_MS = 50;
   private static final SizeInBytes BATCH = SizeInBytes.valueOf("4MB");
 
-  /** Entries after which the ledger is written out and the log before it dropped. */
-  private static final long SNAPSHOT_EVERY = 20_000;
-
   private final KeeperConfig config;
   private final Ledger ledger;
   private final RaftServer server;
@@ -148,7 +145,8 @@
     Read.setLeaderLeaseEnabled(p, false);
     Read.setTimeout(p, ms(2 * e));
     RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(p, true);
-    RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(p, SNAPSHOT_EVERY);
+    RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(p, config.snapshotEntries());
+    RaftServerConfigKeys.Snapshot.setCreationGap(p, Math.max(1, config.snapshotEntries() / 4));
     RaftServerConfigKeys.Snapshot.setRetentionFileNum(p, 2);
     RaftServerConfigKeys.Log.setPurgeUptoSnapshotIndex(p, true);
     RaftServerConfigKeys.Log.setSegmentSizeMax(p, SizeInBytes.valueOf("4MB"));
--- a/src/main/java/corkproxy/quorum/KeeperConfig.java
+++ b/src/main/java/corkproxy/quorum/KeeperConfig.java
@@ -15,6 +15,7 @@
  * @param folder where its log and snapshots are
  * @param peers all keepers, this one among them, by name: where their logs are reached
  * @param electionMs how long a follower goes without a leader's word before it asks for votes, at least
+ * @param snapshotEntries entries after which the ledger is written out and the log before it may be dropped
  * @param times the fleet's times, which count for the first keeper that ever leads
  */
 public record KeeperConfig(
@@ -25,4 +26,5 @@
     Path folder,
     Map<String, InetSocketAddress> peers,
     int electionMs,
+    int snapshotEntries,
     Disruption.Times times) {}
--- a/src/main/java/corkproxy/standin/FaultRun.java
+++ b/src/main/java/corkproxy/standin/FaultRun.java
@@ -221,7 +221,7 @@
     for (String name : apis.keySet()) {
       StringBuilder f = new StringBuilder("[keeper]\nfleet = \"" + fleet + "\"\nname = \"" + name + "\"\n");
       f.append("log_address = \"").append(text(logs.get(name))).append("\"\napi_address = \"").append(text(apis.get(name)));
-      f.append("\"\nfolder = \"").append(folder.resolve(name)).append("\"\nelection_ms = 300\n");
+      f.append("\"\nfolder = \"").append(folder.resolve(name)).append("\"\nelection_ms = 300\nsnapshot_entries = 60\n");
       f.append("[fleet]\nsettle_ms = 500\nwarm_ms = 500\nfence_ms = 300\n");
       seenAt.forEach((n, a) -> f.append("[peer.").append(n).append("]\nlog_address = \"").append(text(a)).append("\"\n"));
       Path file = Files.writeString(folder.resolve(name + ".toml"), f);
--- a/src/test/java/corkproxy/standin/FleetProcessesTest.java
+++ b/src/test/java/corkproxy/standin/FleetProcessesTest.java
@@ -271,6 +271,25 @@
     assertThat(granted).isEqualTo(1);
   }
 
+  @Test
+  void aKeeperThatRestartsFromASnapshotKnowsAllThatWasDecided() throws Exception {
+    String permit = drain("host", "h1").path("permit").asText();
+    for (int i = 0; i < 80; i++) {
+      assertThat(word(drain("host", "h2"))).isEqualTo("refused");
+    }
+    for (String k : List.of("k1", "k2", "k3")) {
+      try (var all = Files.walk(folder.resolve(k))) {
+        assertThat(all.anyMatch(f -> f.getFileName().toString().matches("snapshot\\.[0-9]+_[0-9]+"))).as(k).isTrue();
+      }
+      rig.keeper(k).kill();
+    }
+    for (String k : List.of("k1", "k2", "k3")) {
+      rig.keeper(k).start();
+    }
+    assertThat(status().path("permits").path(0).path("id").asText()).isEqualTo(permit);
+    assertThat(word(drain("host", "h2"))).isEqualTo("refused");
+  }
+
   @Test
   void aHaltStopsGrantsUntilResumed() {
     assertThat(word(rig.operator().change(Operator.entry("halt"), id(), 1, PATIENCE_MS))).isEqualTo("done");
@@ -376,6 +395,52 @@
     assertThat(status().path("permits")).hasSize(1);
   }
 
+  private static JsonNode permit(String id) {
+    return rig.operator().ask(MAPPER.createObjectNode().put("op", "permit").put("permit", id), 0, PATIENCE_MS);
+  }
+
+  @Test
+  void aProxyStoppedBeforeItAcknowledgesIsNamedUntilItHas() throws Exception {
+    rig.proxy("p2").stop();
+    String id = drain("host", "h3").path("permit").asText();
+    await(() -> permit(id).path("awaited").size() == 1);
+    assertThat(permit(id).path("awaited").path("p2").asText()).contains("has not told");
+    await(() -> permit(id).path("awaited").path("p2").asText().contains("may go on sending"));
+    assertThat(permit(id).path("carried_out").asBoolean()).isFalse();
+    rig.proxy("p2").resume();
+    await(() -> permit(id).path("carried_out").asBoolean());
+    for (int i = 0; i < 40; i++) {
+      assertThat(request("p2", "woken-" + i)).isEqualTo(200);
+    }
+    Set<String> at = new TreeSet<>();
+    rig.ledger().visit((request, runs) -> {
+      if (request.startsWith("woken-")) {
+        runs.forEach(r -> at.add(r.host()));
+      }
+    });
+    assertThat(at).doesNotContain("h3").hasSize(3);
+  }
+
+  @Test
+  void aHostThatHalfOfTheProxiesCannotReachUsesTheBudgetUp() throws Exception {
+    List<String> half = List.of("p1", "p2");
+    half.forEach(p -> rig.link(p, "h4").refuse(true));
+    AtomicInteger n = new AtomicInteger();
+    await(() -> {
+      half.forEach(p -> request(p, "half-" + n.incrementAndGet()));
+      return out("hosts", "h4").startsWith("ejected by 2");
+    });
+    JsonNode no = drain("host", "h1");
+    assertThat(word(no)).isEqualTo("refused");
+    assertThat(no.path("why").toString()).contains("h4 (ejected by 2)");
+    rig.mend();
+    await(() -> {
+      half.forEach(p -> request(p, "whole-" + n.incrementAndGet()));
+      return out("hosts", "h4").equals("null") || out("hosts", "h4").isEmpty();
+    });
+    assertThat(word(drain("host", "h1"))).isEqualTo("granted");
+  }
+
   private static String read(Path file) {
     try {
       return Files.exists(file) ? Files.readString(file) : "";
