--- a/src/main/java/corkproxy/quorum/Keeper.java
+++ b/src/main/java/corkproxy/quorum/Keeper.java
@@ -148,7 +148,8 @@
     RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(p, config.snapshotEntries());
     RaftServerConfigKeys.Snapshot.setCreationGap(p, Math.max(1, config.snapshotEntries() / 4));
     RaftServerConfigKeys.Snapshot.setRetentionFileNum(p, 2);
-    RaftServerConfigKeys.Log.setPurgeUptoSnapshotIndex(p, true);
+    // What a keeper that is down still lacks stays in the log: a snapshot is sent only to one that lost its folder.
+    RaftServerConfigKeys.Log.setPurgeUptoSnapshotIndex(p, false);
     RaftServerConfigKeys.Log.setSegmentSizeMax(p, SizeInBytes.valueOf("4MB"));
     RaftServerConfigKeys.Log.setPreallocatedSize(p, SizeInBytes.valueOf("256KB"));
     RaftServerConfigKeys.Log.setWriteBufferSize(p, SizeInBytes.valueOf(BATCH.getSize() + 64));
--- a/src/main/java/corkproxy/quorum/LogMachine.java
+++ b/src/main/java/corkproxy/quorum/LogMachine.java
@@ -22,6 +22,7 @@
 import org.apache.ratis.statemachine.impl.SimpleStateMachineStorage;
 import org.apache.ratis.statemachine.impl.SingleFileSnapshotInfo;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
+import org.apache.ratis.util.LifeCycle;
 import org.apache.ratis.util.MD5FileUtil;
 
 /** Where the library meets the {@link Ledger}: entries that are committed, snapshots, restarts. */
@@ -42,11 +43,22 @@
   public void initialize(RaftServer server, RaftGroupId group, RaftStorage raft) throws IOException {
     super.initialize(server, group, raft);
     storage.init(raft);
-    reinitialize();
+    getLifeCycle().startAndTransition(this::load, IOException.class);
+  }
+
+  /** Before a snapshot of another keeper takes the place of what is here; without it the library gives this keeper up. */
+  @Override
+  public void pause() {
+    getLifeCycle().transition(LifeCycle.State.PAUSING);
+    getLifeCycle().transition(LifeCycle.State.PAUSED);
   }
 
   @Override
   public void reinitialize() throws IOException {
+    getLifeCycle().startAndTransition(this::load, IOException.class);
+  }
+
+  private void load() throws IOException {
     SingleFileSnapshotInfo latest = storage.loadLatestSnapshot();
     if (latest == null) {
       return;
--- a/src/main/java/corkproxy/standin/FaultRun.java
+++ b/src/main/java/corkproxy/standin/FaultRun.java
@@ -67,7 +67,7 @@
   private final List<Long> recoveries = Collections.synchronizedList(new ArrayList<>());
   private final List<Thread> repairs = Collections.synchronizedList(new ArrayList<>());
 
-  /** Drains whose outcome nobody came to know, by their ids: asked again once all links are whole. */
+  /** Calls whose outcome nobody came to know, by their ids: asked again once all links are whole. */
   private final Map<String, ObjectNode> undecided = new ConcurrentHashMap<>();
   private final List<LoadGenerator> loads = new ArrayList<>();
   private final History history;
@@ -249,7 +249,6 @@
     }
     operator = new Operator(fleet, keeperApis());
     judge = new Judge(fronts, proxiesAllowed(), hostsAllowed());
-    fronts.keySet().forEach(judge::down);
     await("all proxies serve", () -> fronts.keySet().stream().allMatch(p -> judge.seen(p) == Judge.Seen.SERVES));
     budgets();
     await("all proxies are members and in", () -> outInside() == 0);
@@ -517,6 +516,9 @@
                 yield History.Outcome.REFUSED;
               }
             };
+    if (o == null && op != History.Op.DRAIN) {
+      undecided.put(id, entry);
+    }
     if (op == History.Op.UNDO && out == History.Outcome.REFUSED) {
       judge.breaks("a permit that was held could not be undone: " + o);
     }
@@ -616,7 +618,7 @@
       JsonNode o = operator.change(entry, id, 0, START_MS);
       if (o == null) {
         judge.breaks("with all links whole there is no outcome of " + id);
-      } else if (o.has("permit") && o.path("status").asText().equals("granted")) {
+      } else if (entry.path("op").asText().equals("drain") && o.path("status").asText().equals("granted")) {
         undo("after-" + id, o.path("permit").asText(), new String[] {entry.path("kind").asText(), entry.path("name").asText()}, random);
       }
     });
@@ -626,7 +628,7 @@
         recoveries.add((System.nanoTime() - healed) / 1_000_000);
       }
     } catch (IOException e) {
-      judge.breaks(e.getMessage());
+      judge.breaks(e.getMessage() + ": " + operator.ask(MAPPER.createObjectNode().put("op", "status"), 0, 2_000));
     }
     if (!sabotaged) {
       throw new IOException("no moment for the sabotage came");
--- a/src/main/java/corkproxy/standin/Judge.java
+++ b/src/main/java/corkproxy/standin/Judge.java
@@ -71,7 +71,7 @@
     this.proxiesAllowed = proxiesAllowed;
     this.hostsAllowed = hostsAllowed;
     for (String name : proxies.keySet()) {
-      downs.put(name, new java.util.concurrent.CopyOnWriteArrayList<>());
+      downs.put(name, new java.util.concurrent.CopyOnWriteArrayList<>(List.of(new Down(began)))); // nobody has been started yet
       Thread t = new Thread(() -> probe(name), "probe-" + name);
       t.setDaemon(true);
       t.start();
