--- a/src/main/java/corkproxy/quorum/Keeper.java
+++ b/src/main/java/corkproxy/quorum/Keeper.java
@@ -132,7 +132,9 @@
     RaftProperties p = new RaftProperties();
     int e = config.electionMs();
     RaftServerConfigKeys.setStorageDir(p, List.of(config.folder().resolve("log").toFile()));
-    RaftConfigKeys.Rpc.setType(p, SupportedRpcType.NETTY);
+    RaftConfigKeys.Rpc.setType(p, Boolean.getBoolean("hunt.netty") ? SupportedRpcType.NETTY : SupportedRpcType.GRPC);
+    org.apache.ratis.grpc.GrpcConfigKeys.Server.setHost(p, config.log().getAddress().getHostAddress());
+    org.apache.ratis.grpc.GrpcConfigKeys.Server.setPort(p, config.log().getPort());
     NettyConfigKeys.Server.setHost(p, config.log().getAddress().getHostAddress());
     NettyConfigKeys.Server.setPort(p, config.log().getPort());
     RaftServerConfigKeys.Rpc.setTimeoutMin(p, ms(e));
