--- a/src/main/java/corkproxy/standin/Child.java
+++ b/src/main/java/corkproxy/standin/Child.java
@@ -28,7 +28,7 @@
     List<String> out = new ArrayList<>(
         List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx" + heapMb + "m", "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Dhunt.netty=" + Boolean.getBoolean("hunt.netty"), "-cp", System.getProperty("java.class.path"), "corkproxy.Main"));
+            "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-cp", System.getProperty("java.class.path"), "corkproxy.Main"));
     out.addAll(List.of(args));
     return out;
   }
