--- a/src/main/java/corkproxy/cli/KeeperCommand.java
+++ b/src/main/java/corkproxy/cli/KeeperCommand.java
@@ -53,6 +53,10 @@
                 log.failure("this keeper can't go on", t);
                 broken.countDown();
               });
+    } catch (NoClassDefFoundError e) {
+      log.close();
+      System.err.println("keeper: " + e.getMessage() + " (expected: -cp 'target/corkproxy.jar:target/lib/*' corkproxy.Main keeper ...)");
+      return 2;
     } catch (IOException | RuntimeException e) {
       log.close();
       System.err.println("keeper " + config.name() + ": " + e.getMessage());
