Let a member's words go on counting over a join; digest its hosts once a reload

A join may give a member the session that it had (its end was told to the log and not taken); it began to number its words anew, and the ledger passed these over as old.

--- a/src/main/java/corkproxy/daemon/Daemon.java
+++ b/src/main/java/corkproxy/daemon/Daemon.java
@@ -127,7 +127,7 @@
     }
   }
 
-  /** Hosts that are busy, of those given, and those that modules have ejected; from all workers. */
+  /** What workers tell of hosts, all of them together; waits for their loops. */
   Set<String> hosts(Function<Worker, Set<String>> of) {
     Set<String> out = new HashSet<>();
     for (Worker w : workers.values()) {
--- a/src/main/java/corkproxy/daemon/FleetMember.java
+++ b/src/main/java/corkproxy/daemon/FleetMember.java
@@ -51,6 +51,8 @@
   private String toldDigest = "";
   private boolean reachable = true;
   private String keptState = "";
+  private DaemonConfig catalogued;
+  private ObjectNode catalogue;
   private volatile DaemonConfig lists;
   private volatile boolean serving;
   private volatile boolean leaving;
@@ -172,7 +174,7 @@
   private boolean join(long until) {
     ObjectNode entry = Json.object().put("op", "join").put("name", config.name()).put("incarnation", incarnation);
     entry.put("lease_ms", config.leaseMs()).put("zone", config.zone());
-    hosts(entry);
+    entry.setAll(catalogue());
     long asked = System.nanoTime();
     ObjectNode o = submit(entry, until);
     if (o == null) {
@@ -183,8 +185,8 @@
       sleep(config.leaseMs() / RENEWALS);
       return true;
     }
+    // It may be the session of before: the numbers of its words go on, or the ledger would pass them over as old.
     session = o.path("session").asLong();
-    number = 0;
     told = "";
     toldDigest = entry.path("digest").asText();
     // The answer may be that of an earlier attempt: the lease counts from a renewal only, which asks the leader anew.
@@ -238,9 +240,14 @@
     }
   }
 
-  private void hosts(ObjectNode entry) {
+  /** The hosts that it balances over, with their digest; made anew with each reload only. */
+  private ObjectNode catalogue() {
+    DaemonConfig now = lists;
+    if (now == catalogued) {
+      return catalogue;
+    }
     TreeMap<String, Subject> all = new TreeMap<>();
-    for (DaemonConfig.Pool p : lists.pools().values()) {
+    for (DaemonConfig.Pool p : now.pools().values()) {
       for (Hosts.Member m : p.members()) {
         all.putIfAbsent(
             m.name(), new Subject(Kind.HOST, m.name(), m.zone(), Long.toHexString(m.cell()), p.name(), m.kind()));
@@ -248,7 +255,9 @@
     }
     ArrayNode list = Json.object().putArray("hosts");
     all.values().forEach(s -> Disruption.write(s, list.addObject()));
-    entry.put("digest", Ledger.digest(Json.text(list))).set("hosts", list);
+    catalogue = Json.object().put("digest", Ledger.digest(Json.text(list))).set("hosts", list);
+    catalogued = now;
+    return catalogue;
   }
 
   private void take(com.fasterxml.jackson.databind.JsonNode news) {
@@ -285,8 +294,7 @@
     }
     busy.forEach(now.putArray("busy")::add);
     new TreeSet<>(daemon.hosts(Worker::ejectedHosts)).forEach(now.putArray("suspects")::add);
-    ObjectNode hosts = Json.object();
-    hosts(hosts);
+    ObjectNode hosts = catalogue();
     boolean newLists = !hosts.path("digest").asText().equals(toldDigest);
     String text = Json.text(now);
     if (text.equals(told) && !newLists) {
--- a/src/main/java/corkproxy/quorum/KeeperApi.java
+++ b/src/main/java/corkproxy/quorum/KeeperApi.java
@@ -99,15 +99,20 @@
 
   private void push() {
     pushing.set(false);
-    ObjectNode view;
+    ObjectNode view = null;
+    long version;
     synchronized (keeper.ledger()) {
-      view = keeper.ledger().view();
+      version = keeper.ledger().version();
+      if (sessions.stream().anyMatch(s -> s.behind(version))) {
+        view = keeper.ledger().view();
+      }
+    }
+    if (view == null) {
+      return;
     }
-    long version = view.path("version").asLong();
-    byte[] line = null;
+    byte[] line = line(Json.object().put("push", true).set("view", view));
     for (Session s : sessions) {
-      if (s.watches && s.version < version && s.channel.isWritable()) {
-        line = line == null ? line(Json.object().put("push", true).set("view", view)) : line;
+      if (s.behind(version)) {
         s.version = version;
         s.channel.writeAndFlush(Unpooled.wrappedBuffer(line));
       }
@@ -131,6 +136,11 @@
       this.channel = channel;
     }
 
+    /** Whether it watches, lacks this version, and takes bytes. */
+    boolean behind(long now) {
+      return watches && version < now && channel.isWritable();
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
       sessions.add(this);
