Send nothing on for a client that has left, or past an end, when a late connection comes up

An attempt that waits for its connection was allowed when the wait began, and was written when the connection came up (up to the connect time-out later) whatever had happened meanwhile.

Seen, on the text before, by EndingsTest over loopback sockets (a host that accepts nobody until told): with `cancel` false a request whose client had left by FIN or by reset was sent on, and so was a second copy of a request that the other host had answered; with any settings a request whose deadline had passed was sent where the loop read the connection's coming up in the same turn, ahead of the timer. With `cancel` true the module's cancel had ended the first two.

Lines at fault: Exchange.clientGone leaves attempts without bytes to the module's cancel; the listener in Upstreams.connect asks only whether the attempt is still in `connecting`. Ruled out: the module (it marks the request as ended in time).

Change: whatever ends a request withdraws its attempts whose last byte has not gone out (Exchange.withdrawUnsent), which is no cancel, as a host counts nothing before the last byte; and a call that waited is asked for once more when its connection is ready (Upstreams.due): its request, its time, its host.

Result: EndingsTest, 7 cases; 4 of them failed without both, the deadline's without the second question.

--- a/src/main/java/corkproxy/engine/Attempt.java
+++ b/src/main/java/corkproxy/engine/Attempt.java
@@ -110,7 +110,7 @@
 
   /** Tells the module; it may end other attempts, and this one, before it returns. */
   protected final void answerBegun() {
-    dispatcher.firstByte(exchange, number, dispatcher.now() - sentAt);
+    exchange.answerBegun(number, dispatcher.now() - sentAt);
   }
 
   /** Whether its answer has begun to go to the client. */
@@ -146,7 +146,12 @@
     finish(Result.CONNECT_FAILED);
   }
 
-  /** The host must not get it any more, and no byte of it has gone out. */
+  /** Whether it is still wanted, and may go to its host: asked when its connection is ready, the last moment. */
+  final boolean maySend() {
+    return exchange.maySend(this);
+  }
+
+  /** It must not go on, and its last byte has not gone out: it never ran. */
   final void moot() {
     finish(Result.MOOT);
   }
--- a/src/main/java/corkproxy/engine/Exchange.java
+++ b/src/main/java/corkproxy/engine/Exchange.java
@@ -123,6 +123,12 @@
     forgetIfDone();
   }
 
+  /** The answer of this attempt goes to the client while it comes. */
+  void answerBegun(int number, double spent) {
+    dispatcher.firstByte(this, number, spent);
+    withdrawUnsent();
+  }
+
   /** Whether an answer is going to the client. Guards it against the end of another attempt. */
   private boolean answering() {
     for (int i = 0; i < attempts.size(); i++) {
@@ -228,7 +234,28 @@
     }
   }
 
+  /** Whether bytes of the attempt may go out now. What was true at the decision may not be when its connection is up. */
+  boolean maySend(Attempt a) {
+    return !answered && a.host.sendable && dispatcher.now() < deadlineAt;
+  }
+
+  /**
+   * Ends what is out for nobody and of which the last byte is not: it never ran. Guards rule 1 where the module may not
+   * cancel, and so does not: a connection that comes up late would carry it on after its end.
+   */
+  private void withdrawUnsent() {
+    for (int i = 0; i < attempts.size(); i++) {
+      Attempt a = attempts.get(i);
+      if (a.open() && !a.mayHaveRun()) {
+        a.moot();
+      }
+    }
+  }
+
   private void forgetIfDone() {
+    if (answered && open > 0) {
+      withdrawUnsent();
+    }
     if (answered && open == 0) {
       for (int i = 0; i < timers.size(); i++) {
         timers.get(i).cancel(false);
--- a/src/main/java/corkproxy/engine/Upstreams.java
+++ b/src/main/java/corkproxy/engine/Upstreams.java
@@ -137,6 +137,9 @@
     }
     Attempt next;
     while ((next = host.pending.peekFirst()) != null) {
+      if (!due(next)) {
+        continue;
+      }
       UpstreamConnection c = ready(host);
       boolean connects = c == null && places(host).take();
       if (c == null && !connects) {
@@ -282,12 +285,24 @@
             channel.close(); // given up meanwhile
           } else if (!f.isSuccess()) {
             call.notSent();
-          } else {
+          } else if (due(call)) {
             protocol.open(this, host, channel).run(call);
           }
         });
   }
 
+  /**
+   * Whether a call that has waited may go out now; if not, it ends here, known not to have run. Guards against what has
+   * become of its request, its time and its host meanwhile: it was allowed when the wait began.
+   */
+  private static boolean due(Attempt call) {
+    boolean due = call.maySend();
+    if (!due) {
+      call.moot();
+    }
+    return due;
+  }
+
   /** The call is over or not wanted any more. */
   void end(Attempt call) {
     call.host.connecting.remove(call);
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -356,6 +356,16 @@
     }
   }
 
+  /** Requests that are not over, or whose attempts are not; on its loop. */
+  int open() {
+    return dispatcher.open();
+  }
+
+  /** What it holds of descriptors; on its loop. */
+  Sockets sockets() {
+    return sockets;
+  }
+
   /** The loop on which all of it runs. */
   EventLoop loop() {
     return loop;
--- /dev/null
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -0,0 +1,106 @@
+package corkproxy.proxy;
+
+import static corkproxy.proxy.World.claim;
+import static corkproxy.proxy.World.log;
+import static corkproxy.proxy.World.ok;
+import static corkproxy.proxy.World.write;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Endings while something is still owed, each order of events forced by the peers: docs/design/endings.md. */
+class EndingsTest {
+  @TempDir Path folder;
+  private World world;
+
+  @BeforeEach
+  void open() {
+    world = new World(folder, 128);
+    world.connectTimeout = 2 * World.PATIENCE_MS;
+    world.deadline = 2 * World.PATIENCE_MS;
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    world.close();
+  }
+
+  // --- while a connection to a host comes up
+
+  @ParameterizedTest
+  @CsvSource({"true,false", "false,false", "true,true", "false,true"})
+  void aRequestWhoseClientLeavesWhileItsConnectionComesUpIsNotSent(boolean cancel, boolean reset) throws Exception {
+    world.cancel = cancel;
+    World.LateHost host = world.new LateHost(h -> ok("late"));
+    world.start(host);
+    try (Socket leaver = world.client()) {
+      write(leaver, claim("leaver"));
+      World.await(() -> world.upstreams() == 1);
+      if (reset) {
+        leaver.setSoLinger(true, 0);
+      }
+    }
+    World.await(() -> world.open() == 0); // long before its time, and its connection's
+    World.await(() -> world.upstreams() == 0);
+    host.comesUp();
+    assertThat(world.ask(claim("next"))).endsWith("late");
+    assertThat(host.heads).hasSize(1).first().asString().contains("next");
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aCopyThatWaitsForItsConnectionIsNotSentOnceTheOtherHasAnswered(boolean cancel) throws Exception {
+    world.cancel = cancel;
+    CountDownLatch both = new CountDownLatch(1);
+    World.Host quick =
+        world.new Host(
+            h -> {
+              try {
+                both.await();
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+              return ok("quick");
+            });
+    World.LateHost late = world.new LateHost(h -> ok("late"));
+    world.start(quick, late);
+    try (Socket s = world.client()) {
+      write(s, log("copied"));
+      World.await(() -> world.upstreams() == 2);
+      both.countDown();
+      assertThat(World.read(s.getInputStream())).endsWith("quick");
+      World.await(() -> world.open() == 0);
+      World.await(() -> world.upstreams() == 1);
+      late.comesUp();
+      World.await(() -> late.open.size() > 0);
+      assertThat(late.heads).isEmpty();
+    }
+  }
+
+  @Test
+  void aRequestWhoseTimeIsOverWhenItsConnectionIsUpIsNotSent() throws Exception {
+    world.deadline = 700;
+    World.LateHost host = world.new LateHost(h -> ok("late"));
+    world.start(host);
+    try (Socket s = world.client()) {
+      write(s, claim("over"));
+      World.await(() -> world.upstreams() == 1);
+      AutoCloseable held = world.heldLoop();
+      host.comesUp();
+      World.await(() -> host.late() == 1); // later than its time: the kernel tries again after a second
+      held.close();
+      assertThat(World.read(s.getInputStream())).contains(" 503 ");
+    }
+    World.await(() -> world.open() == 0);
+    assertThat(host.heads).isEmpty();
+  }
+}
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -17,7 +17,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
@@ -35,6 +38,12 @@
   int listen;
   int seed = 7;
 
+  /** What the settings allow, and how long (ms) a connection to a host may take to come up. */
+  boolean cancel = true;
+
+  boolean parallel = true;
+  int connectTimeout = 500;
+
   /** Whether discovery is a service that is asked, in place of an agent that pushes. */
   boolean asked;
 
@@ -56,10 +65,16 @@
     final List<Socket> open = new CopyOnWriteArrayList<>();
 
     Server() throws IOException {
-      listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+      this(200, new CountDownLatch(0));
+    }
+
+    /** Accepts nobody until told; past {@code backlog} and one more, connections don't come up meanwhile. */
+    Server(int backlog, CountDownLatch accepts) throws IOException {
+      listener = new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
       servers.add(this);
       spawn(
           () -> {
+            accepts.await();
             while (true) {
               Socket s = listener.accept();
               open.add(s);
@@ -92,6 +107,11 @@
       this.answers = answers;
     }
 
+    Host(int backlog, CountDownLatch accepts, Function<String, String> answers) throws IOException {
+      super(backlog, accepts);
+      this.answers = answers;
+    }
+
     /** Connections that have been accepted so far. */
     public int connections() {
       return open.size();
@@ -119,6 +139,45 @@
     }
   }
 
+  /** A host to which no connection comes up until it is told to accept; the kernel tries again each second or so. */
+  final class LateHost extends Host {
+    private final CountDownLatch accepts;
+    private final List<Socket> crowd = new ArrayList<>();
+
+    LateHost(Function<String, String> answers) throws IOException {
+      this(new CountDownLatch(1), answers);
+    }
+
+    private LateHost(CountDownLatch accepts, Function<String, String> answers) throws IOException {
+      super(1, accepts, answers);
+      this.accepts = accepts;
+      boolean full = false;
+      while (!full) {
+        Socket s = new Socket();
+        try {
+          s.connect(new InetSocketAddress("127.0.0.1", port()), 300);
+          crowd.add(s);
+        } catch (java.net.SocketTimeoutException e) {
+          full = true;
+          s.close();
+        }
+      }
+    }
+
+    /** From now on connections come up. */
+    void comesUp() throws IOException {
+      accepts.countDown();
+      for (Socket s : crowd) {
+        s.close();
+      }
+    }
+
+    /** Connections that have come up for others than the crowd. */
+    int late() {
+      return open.size() - crowd.size();
+    }
+  }
+
   /** A host that ends a connection at the first request that comes after it stood idle so long. */
   final class DroppingHost extends Host {
     private final long idleMs;
@@ -182,7 +241,7 @@
   }
 
   private interface Task {
-    void run() throws IOException;
+    void run() throws IOException, InterruptedException;
   }
 
   private static void spawn(Task what) {
@@ -191,7 +250,7 @@
             () -> {
               try {
                 what.run();
-              } catch (IOException e) {
+              } catch (IOException | InterruptedException e) {
                 // the other side, or the test, has ended it
               }
             });
@@ -209,8 +268,8 @@
             + "{\"name\":\"claim\",\"aim\":" + aim + ",\"deadline\":" + deadline + ",\"semantics\":\"at_most_once\"},"
             + "{\"name\":\"log\",\"aim\":" + aim + ",\"deadline\":" + deadline + ",\"semantics\":\"deduplicated\","
             + "\"keyScope\":\"cell\",\"repeatWindow\":2000}],"
-            + "\"limits\":{\"cancel\":true,\"retryAfter\":true,\"parallelTries\":true,\"maxAttempts\":3,"
-            + "\"peers\":" + !peers.isEmpty() + ",\"connIdle\":60000,\"connectTimeout\":500},"
+            + "\"limits\":{\"cancel\":" + cancel + ",\"retryAfter\":true,\"parallelTries\":" + parallel + ",\"maxAttempts\":3,"
+            + "\"peers\":" + !peers.isEmpty() + ",\"connIdle\":60000,\"connectTimeout\":" + connectTimeout + "},"
             + "\"rules\":{\"cold\":1000,\"startCapacity\":1,\"fall\":1000,\"fallMultiple\":3,\"askWithin\":6000},"
             + (asked ? "\"membershipMode\":\"subscribe\"," : "")
             + ""
@@ -248,6 +307,38 @@
     return new PrintStream(OutputStream.nullOutputStream(), true, StandardCharsets.UTF_8);
   }
 
+  /** What the proxy's loop says. */
+  <T> T onLoop(Callable<T> what) {
+    return proxy.loop().submit(what).syncUninterruptibly().getNow();
+  }
+
+  /** Requests that are open in the proxy. */
+  int open() {
+    return onLoop(() -> proxy.open());
+  }
+
+  /** Connections to hosts that are open in the proxy, or being opened. */
+  int upstreams() {
+    return onLoop(() -> proxy.sockets().upstreams());
+  }
+
+  /** Stops the proxy's loop until what is returned is closed: what comes meanwhile comes to it in one turn. */
+  AutoCloseable heldLoop() throws InterruptedException {
+    CountDownLatch held = new CountDownLatch(1);
+    CountDownLatch release = new CountDownLatch(1);
+    proxy.loop().execute(
+        () -> {
+          held.countDown();
+          try {
+            release.await(PATIENCE_MS, TimeUnit.MILLISECONDS);
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+        });
+    held.await();
+    return release::countDown;
+  }
+
   // --- clients
 
   Socket client() throws IOException {
