Judge a keyed request's window when its first byte goes out, not when its wait begins

Both in one request make 885 ms, past the window. Ruled out: the decision itself (module: at most 728 of 730 ms).

Lines at fault: Attempts.allowed judges the window at the decision; Upstreams.connect writes whenever the connection is up. And an attempt that waits is not asked at all about one that went out meanwhile.

Change: the module says with each send how far apart from others it may go out (for ever, window less margin, never), and the engine asks at the first byte, of each other attempt that may have run. The parameter takes the place of a time-out that nobody set (engine's timer for it is gone).

Result: EndingsTest forces it over loopback (a host that hangs, one whose connection comes up past the window); seen to fail without the question, with `cancel` and without: the second copy was sent.

--- a/src/main/java/corkproxy/adapter/Adapter.java
+++ b/src/main/java/corkproxy/adapter/Adapter.java
@@ -301,15 +301,12 @@
     }
 
     @Override
-    public void send(long request, long host, double giveUpAfter) {
+    public void send(long request, long host, double apart) {
       Suspicions talks = talking.get(who);
       if (talks != null) {
         talks.attempted();
       }
       start("transmit").word(" txn=").number(request).word(" host=").number(host);
-      if (giveUpAfter > 0) {
-        reply.word(" giveUpAfter=").time(giveUpAfter);
-      }
       reply.end();
     }
 
--- a/src/main/java/corkproxy/balancer/Actions.java
+++ b/src/main/java/corkproxy/balancer/Actions.java
@@ -2,8 +2,12 @@
 
 /** What a {@link Balancer} asks its proxy to do. Calls are made from within the event methods. */
 public interface Actions {
-  /** Starts an attempt; attempts of a request are numbered 0, 1, 2 ... in the order of the calls. */
-  void send(long request, long host, double giveUpAfter);
+  /**
+   * Starts an attempt; attempts of a request are numbered 0, 1, 2 ... in the order of the calls. It may have to wait for a
+   * connection: when its first byte is to go out, each other attempt that may have run, or may yet, has to have gone out
+   * less than {@code apart} ms before, or this one must not.
+   */
+  void send(long request, long host, double apart);
 
   /** Final answer "no, and trying again does no harm"; {@code coolDown} 0 gives no advice. */
   void refuse(long request, double coolDown);
--- a/src/main/java/corkproxy/balancer/Attempts.java
+++ b/src/main/java/corkproxy/balancer/Attempts.java
@@ -124,8 +124,7 @@
       if (!a.mayHaveRun) {
         continue;
       }
-      if (rules.semantics() == Settings.Semantics.AT_MOST_ONCE
-          || now - a.sentAt >= rules.repeatWindow() - Tuning.WINDOW_MARGIN) {
+      if (now - a.sentAt >= rules.repeatsWithin() - Tuning.WINDOW_MARGIN) {
         return false;
       }
       boolean sameGroup = switch (rules.scope()) {
--- a/src/main/java/corkproxy/balancer/Balancer.java
+++ b/src/main/java/corkproxy/balancer/Balancer.java
@@ -282,7 +282,7 @@
     health.waits(h, now, false);
     health.tried(h, c.type, now, false);
     admission.inFlight(now, 1);
-    actions.send(c.id, h.id, 0);
+    actions.send(c.id, h.id, c.type.rules.repeatsWithin() - Tuning.WINDOW_MARGIN);
     double due = c.type.overdueAfter() * Math.max(1, fleet.slowness(h, now));
     if (c.type.repeatable() && now + due < c.deadline && c.attempts.size() < 3) {
       actions.schedule(due, c.id);
--- a/src/main/java/corkproxy/balancer/Settings.java
+++ b/src/main/java/corkproxy/balancer/Settings.java
@@ -76,6 +76,15 @@
       double repeatWindow,
       double value,
       double lateWorth) {
+    /** How long (ms) after an attempt that may have run another one may go out: for ever, the window, or never. */
+    public double repeatsWithin() {
+      return switch (semantics) {
+        case IDEMPOTENT -> Double.MAX_VALUE;
+        case DEDUPLICATED -> repeatWindow;
+        case AT_MOST_ONCE -> 0;
+      };
+    }
+
     /** The same under another name. */
     public RequestClass named(String other) {
       return new RequestClass(
--- a/src/main/java/corkproxy/engine/Attempt.java
+++ b/src/main/java/corkproxy/engine/Attempt.java
@@ -4,8 +4,6 @@
 import corkproxy.balancer.Result;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 
 /**
  * One send of a request to a host; it ends with exactly one outcome. What goes out and how the
@@ -18,7 +16,9 @@
   private final int number;
   private double sentAt;
   private boolean answering;
-  private Future<?> giveUp;
+  private double apart;
+  private double wroteAt;
+  private boolean ran;
   private Channel connecting;
   private UpstreamConnection connection;
   private boolean over;
@@ -32,16 +32,30 @@
     this.sentAt = sentAt;
   }
 
-  /** Starts it; {@code giveUpAfter} 0 leaves the request's own deadline as its only one. */
-  final void start(double giveUpAfter) {
+  /**
+   * Starts it. When its first byte is to go out, no other of its request that may have run may have gone out {@code
+   * withinMs} ago or earlier.
+   */
+  final void start(double withinMs) {
     host.calls++;
-    if (giveUpAfter > 0) {
-      giveUp =
-          dispatcher.loop().schedule(this::timeUp, (long) (giveUpAfter * 1e6), TimeUnit.NANOSECONDS);
-    }
+    apart = withinMs;
     dispatcher.upstreams().start(this);
   }
 
+  final double apart() {
+    return apart;
+  }
+
+  /** When (ms on the module's clock) its first byte went out, where it did. */
+  final double wroteAt() {
+    return wroteAt;
+  }
+
+  /** Whether it may have run, or may yet: what has begun to go out may still go on, until it is over. */
+  final boolean mayRun() {
+    return over ? ran : connection != null;
+  }
+
   /** Ends it before anything was done for it. */
   final void withhold() {
     host.calls++;
@@ -92,6 +106,7 @@
     }
     connecting = null;
     connection = to;
+    wroteAt = dispatcher.now();
   }
 
   protected final UpstreamConnection connection() {
@@ -177,10 +192,8 @@
       return;
     }
     over = true;
+    ran = !result.neverRan();
     host.calls--;
-    if (giveUp != null) {
-      giveUp.cancel(false);
-    }
     release();
     dispatcher.upstreams().end(this);
     exchange.attemptEnded(this, result, dispatcher.now() - sentAt, report());
--- a/src/main/java/corkproxy/engine/Dispatcher.java
+++ b/src/main/java/corkproxy/engine/Dispatcher.java
@@ -350,14 +350,14 @@
   // --- actions
 
   @Override
-  public void send(long request, long host, double giveUpAfter) {
+  public void send(long request, long host, double apart) {
     Exchange e = exchanges.get(request);
     Host h = hosts.get(host);
     if (e != null && h != null) {
       if (suspicions != null) {
         suspicions.attempted();
       }
-      e.send(h, giveUpAfter);
+      e.send(h, apart);
     } else {
       throw new IllegalStateException("send of " + request + " to " + host + ": not known");
     }
--- a/src/main/java/corkproxy/engine/Exchange.java
+++ b/src/main/java/corkproxy/engine/Exchange.java
@@ -88,20 +88,16 @@
 
   // --- attempts
 
-  void send(Host host, double giveUpAfter) {
+  void send(Host host, double apart) {
     Attempt a = call.attempt(this, host, attempts.size(), dispatcher.now());
     attempts.add(a);
     open++;
-    if (answered
-        || !host.sendable
-        || !call.replayable()
+    if (!call.replayable()
         || attempts.size() > dispatcher.maxAttempts()
-        || giveUpAfter < 0
-        || dispatcher.now() >= deadlineAt
         || attempts.size() > 1 && !dispatcher.retryAllowed()) {
       a.withhold();
     } else {
-      a.start(giveUpAfter);
+      a.start(apart);
     }
   }
 
@@ -236,7 +232,18 @@
 
   /** Whether bytes of the attempt may go out now. What was true at the decision may not be when its connection is up. */
   boolean maySend(Attempt a) {
-    return !answered && a.host.sendable && dispatcher.now() < deadlineAt;
+    double now = dispatcher.now();
+    if (answered || !a.host.sendable || now >= deadlineAt) {
+      return false;
+    }
+    // Guards rule 2: the window was judged when the wait began, and what was sent meanwhile was not judged at all.
+    for (int i = 0; i < attempts.size(); i++) {
+      Attempt other = attempts.get(i);
+      if (other != a && other.mayRun() && now - other.wroteAt() >= a.apart()) {
+        return false;
+      }
+    }
+    return true;
   }
 
   /**
--- a/src/main/java/corkproxy/engine/Upstreams.java
+++ b/src/main/java/corkproxy/engine/Upstreams.java
@@ -94,6 +94,9 @@
   /** Carries the call to its host on a quiet connection, on a new one, or waits for one. */
   void start(Attempt call) {
     Host host = call.host;
+    if (!due(call)) {
+      return;
+    }
     if (host.pending.isEmpty()) {
       UpstreamConnection c = ready(host);
       if (c != null) {
@@ -292,8 +295,8 @@
   }
 
   /**
-   * Whether a call that has waited may go out now; if not, it ends here, known not to have run. Guards against what has
-   * become of its request, its time and its host meanwhile: it was allowed when the wait began.
+   * Whether a call may go out now; if not, it ends here, known not to have run. Asked when it comes and when its wait is
+   * over. Guards against what has become of its request, its time, its host and its other attempts meanwhile.
    */
   private static boolean due(Attempt call) {
     boolean due = call.maySend();
--- a/src/test/java/corkproxy/balancer/Bench.java
+++ b/src/test/java/corkproxy/balancer/Bench.java
@@ -78,7 +78,7 @@
   }
 
   @Override
-  public void send(long request, long host, double giveUpAfter) {
+  public void send(long request, long host, double apart) {
     sends.add(new Send(request, numbers.merge(request, 1, Integer::sum) - 1, host, now));
   }
 
--- a/src/test/java/corkproxy/balancer/RulesTest.java
+++ b/src/test/java/corkproxy/balancer/RulesTest.java
@@ -69,7 +69,7 @@
     }
 
     @Override
-    public void send(long id, long host, double giveUpAfter) {
+    public void send(long id, long host, double apart) {
       Req r = reqs.get(id);
       HostEntry h = list.get(host);
       if (r.ended) {
--- a/src/test/java/corkproxy/bench/FleetModel.java
+++ b/src/test/java/corkproxy/bench/FleetModel.java
@@ -241,7 +241,7 @@
     }
 
     @Override
-    public void send(long request, long id, double giveUpAfter) {
+    public void send(long request, long id, double apart) {
       Host host = byId.get(id);
       Job j = new Job(this, host, request, attempts.merge(request, 1, Integer::sum) - 1, asks.get(request).type);
       open.put(request, j);
--- a/src/test/java/corkproxy/bench/PickBenchmark.java
+++ b/src/test/java/corkproxy/bench/PickBenchmark.java
@@ -66,7 +66,7 @@
   /** Does nothing: what is measured is the decision. */
   static class Nothing implements Actions {
     @Override
-    public void send(long request, long host, double giveUpAfter) {}
+    public void send(long request, long host, double apart) {}
 
     @Override
     public void refuse(long request, double coolDown) {}
--- a/src/test/java/corkproxy/bench/WorkerSpread.java
+++ b/src/test/java/corkproxy/bench/WorkerSpread.java
@@ -57,7 +57,7 @@
               w + 1,
               new PickBenchmark.Nothing() {
                 @Override
-                public void send(long request, long host, double giveUpAfter) {
+                public void send(long request, long host, double apart) {
                   int h = (int) host;
                   most[worker][h] = Math.max(most[worker][h], ++open[worker][h]);
                   Event e = new Event(now[0], worker, request, h);
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -86,6 +86,29 @@
     }
   }
 
+  /** Either may be the first: what counts is when the other's first byte went out. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aKeyedRequestIsNotSentAgainOnAConnectionThatComesUpPastItsWindow(boolean cancel) throws Exception {
+    world.cancel = cancel;
+    world.aim = 100;
+    world.window = 1_000;
+    World.Host hangs = world.new Host(h -> null);
+    World.LateHost late = world.new LateHost(h -> ok("late"));
+    world.start(hangs, late);
+    try (Socket s = world.client()) {
+      write(s, log("keyed"));
+      World.await(() -> hangs.heads.size() == 1 && world.upstreams() == 2);
+      long until = System.nanoTime() + world.window * 1_000_000L;
+      World.await(() -> System.nanoTime() > until);
+      late.comesUp();
+      World.await(() -> late.late() == 1);
+      World.await(() -> world.upstreams() == 1 || !late.heads.isEmpty());
+      assertThat(late.heads).isEmpty();
+      assertThat(world.open()).isEqualTo(1); // the one that hangs may answer still
+    }
+  }
+
   @Test
   void aRequestWhoseTimeIsOverWhenItsConnectionIsUpIsNotSent() throws Exception {
     world.deadline = 700;
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -35,6 +35,7 @@
   private final int sockets;
   int aim = 400;
   int deadline = 3_000;
+  int window = 2_000;
   int listen;
   int seed = 7;
 
@@ -267,7 +268,7 @@
             + "}," + peers + "\"known\":" + known + ",\"settings\":{\"classes\":["
             + "{\"name\":\"claim\",\"aim\":" + aim + ",\"deadline\":" + deadline + ",\"semantics\":\"at_most_once\"},"
             + "{\"name\":\"log\",\"aim\":" + aim + ",\"deadline\":" + deadline + ",\"semantics\":\"deduplicated\","
-            + "\"keyScope\":\"cell\",\"repeatWindow\":2000}],"
+            + "\"keyScope\":\"cell\",\"repeatWindow\":" + window + "}],"
             + "\"limits\":{\"cancel\":" + cancel + ",\"retryAfter\":true,\"parallelTries\":" + parallel + ",\"maxAttempts\":3,"
             + "\"peers\":" + !peers.isEmpty() + ",\"connIdle\":60000,\"connectTimeout\":" + connectTimeout + "},"
             + "\"rules\":{\"cold\":1000,\"startCapacity\":1,\"fall\":1000,\"fallMultiple\":3,\"askWithin\":6000},"
