End with no connection open, answer all before SIGKILL, and hear SIGTERM from the first client on

Need: a restart with requests in flight. Read in Proxy.drain, each forced over loopback by EndingsTest and seen on the text before: - It ended at 0.8 s once no connection was busy, with those still open that had said nothing: what was written to one between that look and the halt was lost. Behind a loop that stood still past 0.8 s, twelve requests in the backlog had no answer: of four accepted in one turn nothing had been read, and the other eight were reset with the listener. - It gave open requests until the longest deadline and 0.6 s, with no bound: a class of more than 3 s (another customer has one of 4 s) that hangs had no answer when SIGKILL comes, 3.7 s after SIGTERM. The same for one that a reload has dropped. - The hook for SIGTERM was set after the listener: one in between ended the process at once. By reading alone; no test forces it.

Change: after 0.8 s whoever carries nothing and had time to speak is closed, the listener goes when nobody is left, taking what its backlog holds, and the end comes when those are gone, too. What is open 0.5 s past the longest deadline (3 s at most) is answered as failed. The hook comes first and waits for the listener.

--- a/src/main/java/corkproxy/engine/Hearing.java
+++ b/src/main/java/corkproxy/engine/Hearing.java
@@ -24,7 +24,7 @@
  * time asked for is what counts. Error: where a poll is stopped in the middle and ends before that time, the
  * stop is taken for the peers'. Cost: two readings of the clock a turn.
  */
-final class Hearing implements IoHandler, IoHandlerContext {
+public final class Hearing implements IoHandler, IoHandlerContext {
   /**
    * A poll that returned as fast as this (ns), or in less than half of the time of the work before it, is taken
    * to have found what came meanwhile: cold code and a lost core make it look as if it had waited.
@@ -64,7 +64,7 @@
   }
 
   /** How long (ns) ago the present loop had read all that had come; 0 off a loop. */
-  static long behind() {
+  public static long behind() {
     Hearing h = HERE.get();
     return h == null ? 0 : Math.max(0, System.nanoTime() - h.until);
   }
--- a/src/main/java/corkproxy/http/ClientConnection.java
+++ b/src/main/java/corkproxy/http/ClientConnection.java
@@ -1,6 +1,7 @@
 package corkproxy.http;
 
 import corkproxy.engine.Exchange;
+import corkproxy.engine.Hearing;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -369,6 +370,21 @@
     return !spoken && System.nanoTime() - openedAt < slowNanos;
   }
 
+  /** Whether it can be closed where no more is expected: it carries nothing, and who is new had time to speak. */
+  boolean clearable() {
+    return !busy() && (spoken || System.nanoTime() - Hearing.behind() - openedAt > SILENT_NANOS);
+  }
+
+  /** There is no more time: what is open has its answer now, and what comes still is none. */
+  void giveUp() {
+    if (call != null) {
+      closing = true;
+      call.exchange().abandon();
+    } else if (takes() && decoder.receiving()) {
+      reject(503);
+    }
+  }
+
   void close() {
     channel.close();
   }
--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -243,6 +243,25 @@
     }
   }
 
+  /**
+   * Nobody new is expected, and nobody may stay: closes what carries nothing and had time to speak. A request that crosses
+   * that close comes again, on a new connection.
+   */
+  public void clear() {
+    for (ClientConnection c : new ArrayList<>(connections)) {
+      if (c.clearable()) {
+        c.close();
+      }
+    }
+  }
+
+  /** No more time: each request that is open is answered as failed, and what has not come whole is turned away. */
+  public void giveUp() {
+    for (ClientConnection c : new ArrayList<>(connections)) {
+      c.giveUp();
+    }
+  }
+
   public boolean draining() {
     return draining;
   }
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -42,7 +42,13 @@
   /** After SIGTERM new connections come for 0.4 s at most; they are accepted for longer (ms). */
   private static final long ACCEPT_MS = 800;
 
-  /** SIGKILL comes no sooner than the longest deadline and 0.7 s; a margin is kept (ms). */
+  /** SIGKILL comes no sooner than the longest deadline, of which no more than this (ms) counts, and 0.7 s. */
+  private static final double LONGEST_MS = 3_000;
+
+  /** What is open so long (ms) past the longest deadline is given up, so that its answer is out before SIGKILL. */
+  private static final long GIVE_UP_MS = 500;
+
+  /** And what is not written then, a little later, has nobody who reads it (ms). */
   private static final long LAST_MS = 600;
 
   private static final long POLL_MS = 10;
@@ -80,6 +86,12 @@
   private boolean takenOver;
   private long drainUntil;
   private long acceptUntil;
+  private long giveUpAt;
+
+  /** Counted down once it listens, or never will: an end that is asked for before waits so long. */
+  private final CountDownLatch started = new CountDownLatch(1);
+
+  private volatile boolean listens;
 
   Proxy(Config config, Operators operators, Generations generations, Log log) {
     this.config = config;
@@ -159,20 +171,26 @@
       log.line("SIGHUP is ignored in this process: the configuration's time and size are looked at in its place");
       p.watch(file);
     }
+    // Ahead of the listener. Guards what is taken in the first moment: a SIGTERM with no hook ends the process at once.
+    Runtime.getRuntime().addShutdownHook(new Thread(p::end, "drain"));
     p.start();
-    // An exit by SIGTERM is status 143 to the JVM, and a drain that is done is a success.
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  p.drain();
-                  p.awaitEnd();
-                  Runtime.getRuntime().halt(0);
-                },
-                "drain"));
     p.awaitEnd();
   }
 
+  /** Carries out SIGTERM. An exit by it is status 143 to the JVM, and a drain that is done is a success. */
+  private void end() {
+    try {
+      started.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    if (listens) {
+      drain();
+      awaitEnd();
+      Runtime.getRuntime().halt(0);
+    }
+  }
+
   /** Operators are heard from the first moment on. */
   private static void listen(Management management, Config config) throws ConfigException {
     try {
@@ -202,6 +220,7 @@
       }
       awaitList();
       front.listen(group, config.listen());
+      listens = true;
       loop.submit(this::compare).sync();
       operators.onChange(() -> loop.execute(this::followOperators));
       loop.submit(this::followOperators).sync(); // what was asked before
@@ -212,6 +231,8 @@
         throw new ConfigException("can't listen on " + config.listen() + ": " + e.getMessage());
       }
       throw new ConfigException("can't start: " + e);
+    } finally {
+      started.countDown();
     }
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
@@ -308,7 +329,17 @@
     settling = loop.schedule(gate::settled, Retuning.OLD_FORM_MS, TimeUnit.MILLISECONDS);
   }
 
-  /** Begins the end: all that was taken is answered, then the process may go. */
+  /**
+   * Begins the end: all that was taken is answered, then the process may go.
+   *
+   * <pre>
+   *   SIGTERM           new connections end         longest deadline       given up   cut short   SIGKILL
+   *   |-- accepts, answers ask to leave --|-- nobody may stay; -----------------|---------|----------|
+   *   0                                 0.8 s   once all are gone, ends      + 0.5 s   + 0.6 s    + 0.7 s
+   * </pre>
+   *
+   * It ends with no connection open. Guards against a request that is written to one between the last look and the end.
+   */
   void drain() {
     loop.execute(
         () -> {
@@ -316,7 +347,9 @@
           for (var c : config.settings().classes()) {
             longest = Math.max(longest, c.deadline());
           }
+          longest = Math.min(longest, LONGEST_MS);
           long now = System.nanoTime();
+          giveUpAt = now + (long) ((longest + GIVE_UP_MS) * 1e6);
           drainUntil = now + (long) ((longest + LAST_MS) * 1e6);
           operators.serves(false);
           Generations.Standing others = generations.others();
@@ -338,7 +371,16 @@
 
   private void pollDrain() {
     long now = System.nanoTime();
-    boolean done = now >= acceptUntil && (takenOver ? front.empty() : !front.busy());
+    if (now >= giveUpAt) {
+      front.giveUp(); // of a class with a longer time than SIGKILL leaves, or one that a reload has dropped
+    }
+    if (!takenOver && now >= acceptUntil) {
+      front.clear();
+      if (listening() && (front.empty() || now >= giveUpAt)) {
+        front.leaveListening(); // whom it lets in is waited for, too
+      }
+    }
+    boolean done = now >= acceptUntil && front.empty() && !listening();
     if (done || now >= drainUntil) {
       log.line(done ? "drained" : "drain cut short by its time");
       front.listener().close();
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -8,7 +8,11 @@
 
 import java.net.Socket;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -109,6 +113,63 @@
     }
   }
 
+  // --- a restart with requests in flight
+
+  /** SIGKILL comes 3.7 s after SIGTERM at the latest that is promised, however long a class may take. */
+  @Test
+  void aRequestWhoseClassMayTakeLongerThanSigkillLeavesIsAnsweredBeforeTheEnd() throws Exception {
+    World.Host hangs = world.new Host(h -> null);
+    world.start(hangs);
+    try (Socket s = world.client()) {
+      write(s, claim("long"));
+      World.await(() -> hangs.heads.size() == 1);
+      CompletableFuture<Void> ended = world.drain();
+      assertThat(World.read(s.getInputStream())).contains(" 502 ");
+      ended.get(World.PATIENCE_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** One that is open may be written to at any instant, so none is at the end. */
+  @Test
+  void theEndComesWithNoConnectionOpenThatCouldBeWrittenTo() throws Exception {
+    world.start(world.new Host(h -> ok("done")));
+    try (Socket before = world.client()) {
+      World.await(() -> world.clients() == 1);
+      CompletableFuture<Void> ended = world.drain();
+      try (Socket after = world.client()) {
+        ended.get(World.PATIENCE_MS, TimeUnit.MILLISECONDS);
+        assertThat(world.clients()).isZero();
+        assertThat(World.ends(before)).isTrue();
+        assertThat(World.ends(after)).isTrue();
+      }
+    }
+  }
+
+  /** More of them than are accepted in one turn; a new process comes late to what waits in the kernel, or one without a core. */
+  @Test
+  void whatStandsInTheBacklogWhenTheEndIsDueIsServed() throws Exception {
+    world.start(world.new Host(h -> ok("done")));
+    assertThat(world.ask(claim("warm"))).endsWith("done");
+    CompletableFuture<Void> ended = world.drain();
+    AutoCloseable held = world.heldLoop();
+    long until = System.nanoTime() + 1_000_000_000L; // past the time in which it accepts
+    List<Socket> waiting = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      Socket s = world.client();
+      waiting.add(s);
+      write(s, claim("waits" + i));
+    }
+    World.await(() -> System.nanoTime() > until);
+    held.close();
+    for (Socket s : waiting) {
+      assertThat(World.read(s.getInputStream())).endsWith("done");
+      s.close();
+    }
+    ended.get(World.PATIENCE_MS, TimeUnit.MILLISECONDS);
+  }
+
+  // --- a time that is over
+
   @Test
   void aRequestWhoseTimeIsOverWhenItsConnectionIsUpIsNotSent() throws Exception {
     world.deadline = 700;
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -323,6 +324,17 @@
     return onLoop(() -> proxy.sockets().upstreams());
   }
 
+  /** Has the proxy end as at SIGTERM; the future is done when its process would be gone. */
+  CompletableFuture<Void> drain() {
+    proxy.drain();
+    return CompletableFuture.runAsync(proxy::awaitEnd);
+  }
+
+  /** Connections of clients that are open in the proxy. */
+  int clients() {
+    return onLoop(() -> proxy.sockets().clients());
+  }
+
   /** Stops the proxy's loop until what is returned is closed: what comes meanwhile comes to it in one turn. */
   AutoCloseable heldLoop() throws InterruptedException {
     CountDownLatch held = new CountDownLatch(1);
