Hear of the list in time: before the first request, past a silent replacement, within the grace

Need: a list that falls silent, a discovery that comes back with a drain, a new process. Read in Discovery and Proxy; each forced by DiscoveryTest over loopback, and seen on the text before: - A watch silent for 3 s was replaced, but a replacement that is silent, too, had 3 s again: with it 6 s were over (6.3 s in the test) when the list was heard, and what is missed counts as told after 6 s. A replacement that has said nothing for 1 s is asked anew now, once, where lists are pushed: an agent on the same machine answers at once. - A watch that was reset again and again came back after up to 750 ms, while what the agent gets meanwhile counts as told at once and the grace is 500 ms. The wait is a quarter of the grace now, with half as much at chance, from the settings. - A new process listened before discovery had answered and sent its first request by the list of its configuration. It waits for discovery now, at the most 1.5 s after it asked, and asks ahead of the rehearsal, so that it costs no time. - A new configuration's idle time and connect time-out of hosts were not taken; they are.

A bytes-late loop is no silence: the watch's silence is judged by what the loop has read.

--- a/src/main/java/corkproxy/engine/Dispatcher.java
+++ b/src/main/java/corkproxy/engine/Dispatcher.java
@@ -153,6 +153,11 @@
     return busy;
   }
 
+  /** Whether the host of that name is listed and may get work. */
+  public boolean sends(String host) {
+    return hosts.all().stream().anyMatch(h -> h.sendable && h.name.equals(host));
+  }
+
   /** Hosts that the module has ejected and not readmitted. */
   public Set<String> ejectedHosts() {
     return ejected;
--- a/src/main/java/corkproxy/proxy/Config.java
+++ b/src/main/java/corkproxy/proxy/Config.java
@@ -7,6 +7,7 @@
 import corkproxy.adapter.SettingsReader;
 import corkproxy.balancer.Settings;
 import corkproxy.engine.Addresses;
+import corkproxy.engine.PoolBounds;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -107,6 +108,11 @@
     return new PeerAddresses(listen, all, numbers);
   }
 
+  /** How long (ms) after it was told of a drain a client proxy may still send there. */
+  double drainGrace() {
+    return root.path("settings").path("rules").path("drainGrace").asDouble(500);
+  }
+
   /** The list of hosts as this client proxy last had it, in discovery's form. */
   JsonNode known() {
     return root.path("known");
@@ -130,7 +136,12 @@
   Config with(Config next) {
     return new Config(
         name, listen, next.discovery, management, seed, memoryMb, sockets, next.root, next.settings,
-        connIdle, connectTimeout, maxOpen);
+        next.connIdle, next.connectTimeout, maxOpen);
+  }
+
+  /** What holds for connections to hosts. */
+  PoolBounds bounds() {
+    return PoolBounds.unbounded(settings.keepIdle(connIdle), connectTimeout);
   }
 
   /** Where operators call, or null where none is told. */
--- a/src/main/java/corkproxy/proxy/Discovery.java
+++ b/src/main/java/corkproxy/proxy/Discovery.java
@@ -7,6 +7,7 @@
 import corkproxy.balancer.News;
 import corkproxy.engine.Addresses;
 import corkproxy.engine.Dispatcher;
+import corkproxy.engine.Hearing;
 import corkproxy.engine.Hosts;
 import corkproxy.engine.Log;
 import io.netty.bootstrap.Bootstrap;
@@ -57,6 +58,12 @@
    */
   private static final long SILENCE_NANOS = 3_000_000_000L;
 
+  /**
+   * An agent on the same machine answers at once what it is asked; one that has said nothing at all for so long (ns) is asked
+   * anew, once. Guards against a replacement that is silent as well: with the watch's own silence twice, 6 s would be over.
+   */
+  private static final long OPENING_NANOS = 1_000_000_000L;
+
   /** What has been asked for at an address that has not told its versions yet. */
   private static final long NO_VERSION = -1;
 
@@ -65,6 +72,12 @@
 
   private static final long BACKOFF_MAX_MS = 500;
 
+  /**
+   * What an agent gets while no watch is open counts as told all the same, so the wait for a new one has to be well within
+   * the drain's grace: this part of it, with half as much again at chance, and the rest for the list to come.
+   */
+  private static final double GRACE_PART = 0.25;
+
   /** A longer line is no list of hosts. */
   private static final int MAX_LINE = 4 << 20;
 
@@ -78,18 +91,26 @@
   private InetSocketAddress address;
   private long version = NO_VERSION;
   private Future<?> reopening;
-  private long backoff = BACKOFF_MS;
+  private final long firstBackoff;
+  private final long lastBackoff;
+  private long backoff;
 
   /** Why the last watch broke, until one is good again: many tries at one broken discovery make one line. */
   private String fault;
 
   private Watch watch;
 
+  /** Whether the next opening is worth a hurry: the last one was not given up for its own silence. */
+  private boolean hurried = true;
+
   Discovery(EventLoopGroup loop, Config config, Dispatcher dispatcher, Log log) {
     this.dispatcher = dispatcher;
     this.log = log;
     this.address = config.discovery();
     this.asked = config.settings().mustFollow();
+    this.lastBackoff = Math.max(1, (long) Math.min(BACKOFF_MAX_MS, GRACE_PART * config.drainGrace()));
+    this.firstBackoff = Math.min(BACKOFF_MS, lastBackoff);
+    this.backoff = firstBackoff;
     this.bootstrap =
         new Bootstrap()
             .group(loop)
@@ -127,7 +148,7 @@
     if (!to.equals(address)) {
       address = to;
       version = NO_VERSION;
-      backoff = BACKOFF_MS;
+      backoff = firstBackoff;
       open();
     }
   }
@@ -158,8 +179,12 @@
 
   /** Ends a watch that has gone silent. */
   void sweep() {
-    if (watch != null && System.nanoTime() - watch.heardAt > SILENCE_NANOS) {
-      watch.broken("silent");
+    if (watch != null) {
+      boolean opening = !asked && hurried && !watch.heard;
+      if (System.nanoTime() - Hearing.behind() - watch.heardAt > (opening ? OPENING_NANOS : SILENCE_NANOS)) {
+        hurried = !opening;
+        watch.broken("silent");
+      }
     }
   }
 
@@ -210,7 +235,7 @@
       return;
     }
     long wait = backoff / 2 + (long) (Math.random() * backoff);
-    backoff = Math.min(2 * backoff, BACKOFF_MAX_MS);
+    backoff = Math.min(2 * backoff, lastBackoff);
     reopening = dispatcher.loop().schedule(this::open, wait, TimeUnit.MILLISECONDS);
   }
 
@@ -219,6 +244,7 @@
     private byte[] line = new byte[4_096];
     private int size;
     private long heardAt = System.nanoTime();
+    private boolean heard;
     private boolean good;
     private boolean following;
 
@@ -275,6 +301,8 @@
 
     private void take(HttpObject part) {
       heardAt = System.nanoTime();
+      heard = true;
+      hurried = true;
       if (part.decoderResult().isFailure()) {
         broken("malformed answer");
       } else if (part instanceof HttpResponse head && head.status().code() != 200) {
@@ -345,7 +373,7 @@
         good = true;
         told = true;
         fault = null;
-        backoff = BACKOFF_MS;
+        backoff = firstBackoff;
       }
     }
 
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -6,7 +6,6 @@
 import corkproxy.engine.LineLog;
 import corkproxy.engine.Log;
 import corkproxy.engine.NioTransport;
-import corkproxy.engine.PoolBounds;
 import corkproxy.engine.Signals;
 import corkproxy.engine.Sockets;
 import corkproxy.engine.Transport;
@@ -61,7 +60,7 @@
 
   private static final long RELOAD_RETRY_MS = 150;
 
-  /** How long (ms) a process that takes over from another waits for discovery before it listens. */
+  /** How long (ms) after it has asked discovery a process may wait for the list before it listens. */
   private static final long TOLD_MS = 1_500;
 
   private final Operators operators;
@@ -73,6 +72,7 @@
   private final EventLoop loop;
   private final PlatformGate gate;
   private final Front front;
+  private final Upstreams upstreams;
   private final Dispatcher dispatcher;
   private final Discovery discovery;
   private final Peers peers;
@@ -87,6 +87,7 @@
   private long drainUntil;
   private long acceptUntil;
   private long giveUpAt;
+  private long followedAt;
 
   /** Counted down once it listens, or never will: an end that is asked for before waits so long. */
   private final CountDownLatch started = new CountDownLatch(1);
@@ -106,12 +107,12 @@
         new Sockets(config.sockets() - (config.management() == null ? 0 : Management.MOST));
     this.budget = new BodyBudget(0);
     share(generations.others());
-    Upstreams upstreams =
+    this.upstreams =
         new Upstreams(
             loop,
             TRANSPORT,
             HttpProtocol.PLATFORM,
-            PoolBounds.unbounded(config.settings().keepIdle(config.connIdle()), config.connectTimeout()),
+            config.bounds(),
             sockets,
             log);
     this.dispatcher =
@@ -164,8 +165,9 @@
     if (config.management() != null) {
       listen(new Management(operators::serves, operators::sendAway, operators::takeBack, log), config);
     }
-    Rehearsal.run(config, generations.others() != null, log);
     Proxy p = new Proxy(config, operators, generations, log);
+    p.follow(); // what it is told meanwhile costs no time
+    Rehearsal.run(config, generations.others() != null, log);
     String file = env.get("BALANCER_CONFIG");
     if (!Signals.onHangup(() -> p.reload(file))) {
       log.line("SIGHUP is ignored in this process: the configuration's time and size are looked at in its place");
@@ -211,10 +213,18 @@
     watched = new WatchedFile(Path.of(file));
   }
 
-  /** Listens and starts the watch. */
+  /** Starts the watch, ahead of {@link #start} or with it. */
+  void follow() {
+    if (followedAt == 0) {
+      followedAt = System.nanoTime();
+      loop.submit(() -> discovery.start(config.known())).syncUninterruptibly();
+    }
+  }
+
+  /** Listens, once it has been told of the hosts or has waited for that. */
   void start() throws ConfigException {
     try {
-      loop.submit(() -> discovery.start(config.known())).sync();
+      follow();
       if (peers != null) {
         peers.start(loop);
       }
@@ -238,12 +248,13 @@
   }
 
   /**
-   * Waits for discovery's list where another process serves meanwhile. Guards against a new process that
-   * takes clients with the old list of its configuration while the one before it knows better.
+   * Waits for discovery's list. Guards against a new process that goes by the old list of its configuration: what discovery
+   * has counts as told from its first moment, so a host that drains already has no grace left. Where discovery is down this
+   * costs nothing once the rehearsal has taken as long.
    */
   private void awaitList() throws Exception {
-    long until = System.nanoTime() + TOLD_MS * 1_000_000;
-    while (shared && !loop.submit(discovery::told).get() && System.nanoTime() < until) {
+    long until = followedAt + TOLD_MS * 1_000_000;
+    while (!loop.submit(discovery::told).get() && System.nanoTime() < until) {
       Thread.sleep(POLL_MS);
     }
   }
@@ -306,6 +317,7 @@
         retune(next.settings());
       }
       config = config.with(next);
+      upstreams.bounds(config.bounds());
       log.line("configuration read again, discovery at " + next.discovery());
       discovery.moveTo(next.discovery());
     } catch (ConfigException | RuntimeException e) {
@@ -403,6 +415,11 @@
     return dispatcher.open();
   }
 
+  /** Whether the host of that name may get work; on its loop. */
+  boolean sends(String host) {
+    return dispatcher.sends(host);
+  }
+
   /** What it holds of descriptors; on its loop. */
   Sockets sockets() {
     return sockets;
--- a/src/test/java/corkproxy/proxy/DiscoveryTest.java
+++ b/src/test/java/corkproxy/proxy/DiscoveryTest.java
@@ -8,15 +8,21 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import corkproxy.engine.LineLog;
 import corkproxy.engine.Log;
@@ -26,6 +32,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Discovery that breaks off, can't be read, contradicts itself, or has no room. */
 class DiscoveryTest {
@@ -214,6 +221,134 @@
     }
   }
 
+  private static String drains(long version, String id, String address) {
+    return "{\"version\":" + version + ",\"full\":false,\"servers\":[" + entry(id, address).replace("\"up\"", "\"draining\"") + "]}";
+  }
+
+  /** What a watch misses counts as told 6 s after it fell silent, so a replacement that is silent, too, must not cost them. */
+  @Test
+  void aListIsHeardInTimeThoughTheReplacementOfASilentWatchIsSilentToo() throws Exception {
+    World.Host old = world.new Host(h -> ok("old"));
+    World.Host next = world.new Host(h -> ok("next"));
+    AtomicLong silentFrom = new AtomicLong();
+    AtomicLong toldAt = new AtomicLong();
+    AtomicInteger watches = new AtomicInteger();
+    World.Server discovery =
+        world.new Server() {
+          @Override
+          void serve(Socket s) throws IOException {
+            World.read(s.getInputStream());
+            switch (watches.incrementAndGet()) {
+              case 1 -> {
+                write(s, chunk(list(40, entry("old", old.address()), entry("next", next.address())) + "\n"));
+                silentFrom.set(System.nanoTime());
+              }
+              case 2 -> {}
+              default -> {
+                write(s, chunk(drains(41, "old", old.address()) + "\n"));
+                toldAt.compareAndSet(0, System.nanoTime());
+              }
+            }
+            World.read(s.getInputStream()); // until the watch ends
+          }
+        };
+    start(discovery, list(39));
+    World.await(() -> toldAt.get() != 0);
+    assertThat(toldAt.get() - silentFrom.get()).isLessThan(6_000_000_000L);
+    World.await(() -> world.onLoop(() -> world.proxy.sends("next") && !world.proxy.sends("old")));
+  }
+
+  /** What the agent gets while no watch is open counts as told at once. */
+  @ParameterizedTest
+  @ValueSource(ints = {250, 500})
+  void aWatchThatIsResetAgainAndAgainIsNeverClosedForLongerThanTheGrace(int grace) throws Exception {
+    world.grace = grace;
+    List<Long> tries = new CopyOnWriteArrayList<>();
+    World.Server discovery =
+        world.new Server() {
+          @Override
+          void serve(Socket s) throws IOException {
+            tries.add(System.nanoTime());
+            s.setSoLinger(true, 0);
+            s.close();
+          }
+        };
+    start(discovery, list(39));
+    World.await(() -> tries.size() >= 16);
+    long longest = 0;
+    for (int i = 1; i < tries.size(); i++) {
+      longest = Math.max(longest, tries.get(i) - tries.get(i - 1));
+    }
+    assertThat(longest).isLessThan(grace * 1_000_000L);
+  }
+
+  /** What discovery has counts as told from the first moment of a new process, and the list of its configuration may be old. */
+  @Test
+  void theFirstRequestOfANewProcessGoesByWhatDiscoveryHas() throws Exception {
+    World.Host drained = world.new Host(h -> ok("drained"));
+    World.Host up = world.new Host(h -> ok("up"));
+    CountDownLatch answers = new CountDownLatch(1);
+    CountDownLatch asked = new CountDownLatch(1);
+    World.Server discovery =
+        world.new Server() {
+          @Override
+          void serve(Socket s) throws IOException, InterruptedException {
+            World.read(s.getInputStream());
+            asked.countDown();
+            answers.await();
+            write(s, chunk(drains(41, "drained", drained.address()).replace("}]", "}," + entry("up", up.address()) + "]") + "\n"));
+            World.read(s.getInputStream()); // until the watch ends
+          }
+        };
+    world.listen = freePort();
+    CompletableFuture<String> first =
+        CompletableFuture.supplyAsync(() -> firstAnswer(world.listen));
+    CompletableFuture<Void> started =
+        CompletableFuture.runAsync(
+            () -> {
+              try {
+                start(discovery, list(40, entry("drained", drained.address())));
+              } catch (Exception e) {
+                throw new IllegalStateException(e);
+              }
+            });
+    asked.await();
+    World.await(
+        new BooleanSupplier() {
+          private final long until = System.nanoTime() + 5 * TENTH; // what goes by the old list has been sent by then
+
+          @Override
+          public boolean getAsBoolean() {
+            return first.isDone() || System.nanoTime() > until;
+          }
+        });
+    answers.countDown();
+    started.get();
+    assertThat(first.get()).endsWith("up");
+    assertThat(drained.heads).isEmpty();
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
+    }
+  }
+
+  /** The answer to a request that is sent as soon as anybody listens there. */
+  private static String firstAnswer(int port) {
+    long until = System.nanoTime() + World.PATIENCE_MS * 1_000_000L;
+    while (System.nanoTime() < until) {
+      try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+        s.setSoTimeout(World.PATIENCE_MS);
+        write(s, claim("first"));
+        return World.read(s.getInputStream());
+      } catch (IOException e) {
+        LockSupport.parkNanos(1_000_000);
+      }
+    }
+    return "nobody listened";
+  }
+
   @Test
   void oneCauseIsOneLineHoweverOftenItIsMet() throws Exception {
     World.Host host = world.new Host(h -> ok("done"));
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -37,6 +37,7 @@
   int aim = 400;
   int deadline = 3_000;
   int window = 2_000;
+  int grace = 500;
   int listen;
   int seed = 7;
 
@@ -93,7 +94,7 @@
       return "127.0.0.1:" + listener.getLocalPort();
     }
 
-    abstract void serve(Socket s) throws IOException;
+    abstract void serve(Socket s) throws IOException, InterruptedException;
   }
 
   /** A host that answers each request as told; null leaves it without an answer. */
@@ -272,7 +273,7 @@
             + "\"keyScope\":\"cell\",\"repeatWindow\":" + window + "}],"
             + "\"limits\":{\"cancel\":" + cancel + ",\"retryAfter\":true,\"parallelTries\":" + parallel + ",\"maxAttempts\":3,"
             + "\"peers\":" + !peers.isEmpty() + ",\"connIdle\":60000,\"connectTimeout\":" + connectTimeout + "},"
-            + "\"rules\":{\"cold\":1000,\"startCapacity\":1,\"fall\":1000,\"fallMultiple\":3,\"askWithin\":6000},"
+            + "\"rules\":{\"cold\":1000,\"startCapacity\":1,\"fall\":1000,\"fallMultiple\":3,\"askWithin\":6000,\"drainGrace\":" + grace + "},"
             + (asked ? "\"membershipMode\":\"subscribe\"," : "")
             + ""
             + "\"report\":{\"how\":\"answers\"},\"balancers\":1}}");
