Judge silence by what the loop has read, and idle time when a connection is used

Need: a connection closed at the wrong instant. Read in Front.makeRoom and Upstreams.rested, each forced by EndingsTest with a loop that is held, and seen without the change: - A client that had written its request was closed as silent, to make room, where the loop had not read for 50 ms: its request stood in the kernel and was reset. Ages of clients are now taken to the time until which the loop has read (Hearing). - A host's connection idle past what upkeep allows was used if a request came before upkeep did (a fifth of a second, or a late loop): with a host that ends it at its idle time the request, not repeatable, failed as reset. It is asked at each use now.

Result: EndingsTest 19 of 19; both fail without their line.

--- a/src/main/java/corkproxy/engine/Upstreams.java
+++ b/src/main/java/corkproxy/engine/Upstreams.java
@@ -237,7 +237,15 @@
     long now = System.nanoTime();
     endRests(host, now);
     UpstreamConnection c = host.idle.peekLast();
-    return c != null && now - c.since() < host.keepNanos(now) ? host.idle.pollLast() : null;
+    return c != null && now - c.since() < keepNanos(host, now) ? host.idle.pollLast() : null;
+  }
+
+  /**
+   * How long (ns) a connection may stand idle and be used: by the settings, and by what was seen. Upkeep ends it then, but a
+   * request may come first, and the host's own end of it would be a reset under a request that may have run.
+   */
+  private long keepNanos(Host host, long now) {
+    return Math.min((long) (IDLE_PART * bounds.idleMs() * 1e6), host.keepNanos(now));
   }
 
   /** In one step a connection, where a look at each that rests would cost a busy host one a request. */
@@ -364,11 +372,10 @@
   /** Closes what has been idle for long. */
   void sweep(Iterable<Host> hosts) {
     long now = System.nanoTime();
-    long idleNanos = (long) (IDLE_PART * bounds.idleMs() * 1e6);
     for (Host h : hosts) {
       endRests(h, now);
       UpstreamConnection c;
-      while ((c = h.idle.peekFirst()) != null && now - c.since() > Math.min(idleNanos, h.keepNanos(now))) {
+      while ((c = h.idle.peekFirst()) != null && now - c.since() > keepNanos(h, now)) {
         h.idle.pollFirst();
         c.channel().close();
       }
--- a/src/main/java/corkproxy/http/ClientConnection.java
+++ b/src/main/java/corkproxy/http/ClientConnection.java
@@ -1,7 +1,6 @@
 package corkproxy.http;
 
 import corkproxy.engine.Exchange;
-import corkproxy.engine.Hearing;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -393,8 +392,8 @@
   }
 
   /** Whether it can be closed where no more is expected: it carries nothing, and who is new had time to speak. */
-  boolean clearable() {
-    return !busy() && (spoken || System.nanoTime() - Hearing.behind() - openedAt > SILENT_NANOS);
+  boolean clearable(long now) {
+    return !busy() && (spoken || now - openedAt > SILENT_NANOS);
   }
 
   /** There is no more time: what is open has its answer now, and what comes still is none. */
--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -1,6 +1,7 @@
 package corkproxy.http;
 
 import corkproxy.engine.BodyBudget;
+import corkproxy.engine.Hearing;
 import corkproxy.engine.Log;
 import corkproxy.engine.Sockets;
 import corkproxy.engine.Transport;
@@ -184,7 +185,7 @@
 
   /** Of the oldest connections, so many of them, the one that makes room most readily, or null. */
   private ClientConnection mostDispensable(int looks) {
-    long now = System.nanoTime();
+    long now = heard();
     int left = looks;
     ClientConnection found = null;
     int least = Integer.MAX_VALUE;
@@ -201,6 +202,14 @@
     return found;
   }
 
+  /**
+   * Until when (ns) all that clients have sent has been read. Guards against the end of one whose request stands in the
+   * kernel while the loop is behind: it looks silent for as long as nobody reads.
+   */
+  private static long heard() {
+    return System.nanoTime() - Hearing.behind();
+  }
+
   void opened(ClientConnection c) {
     connections.add(c);
   }
@@ -249,7 +258,7 @@
    */
   public void clear() {
     for (ClientConnection c : new ArrayList<>(connections)) {
-      if (c.clearable()) {
+      if (c.clearable(heard())) {
         c.close();
       }
     }
@@ -283,7 +292,7 @@
 
   /** Upkeep, a few times a second. */
   public void sweep() {
-    long now = System.nanoTime();
+    long now = heard();
     for (ClientConnection c : new ArrayList<>(connections)) {
       c.sweep(now);
     }
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -230,6 +230,55 @@
     ended.get(World.PATIENCE_MS, TimeUnit.MILLISECONDS);
   }
 
+  // --- upkeep, and a loop that is late
+
+  /** It has written its request, and looks as silent as before only as long as nobody reads. */
+  @Test
+  void aClientIsNotSentAwayForASilenceThatIsTheLoops() throws Exception {
+    world.start(world.new Host(h -> ok("done")));
+    List<Socket> fill = new ArrayList<>();
+    while (world.onLoop(() -> world.proxy.sockets().roomForClient())) {
+      Socket s = world.client();
+      fill.add(s);
+      write(s, "POST /cl"); // begun, and so none that makes room yet
+      World.await(() -> world.clients() == fill.size());
+    }
+    fill.remove(0).close();
+    fill.remove(0).close();
+    World.await(() -> world.clients() == fill.size());
+    Socket speaks = world.client();
+    World.await(() -> world.clients() == fill.size() + 1);
+    AutoCloseable held = world.heldLoop();
+    long until = System.nanoTime() + 100_000_000L; // twice what a client may be silent for in a crowd
+    World.await(() -> System.nanoTime() > until);
+    fill.add(world.client()); // ready ahead of it, and one too many
+    write(speaks, claim("speaks"));
+    held.close();
+    assertThat(World.read(speaks.getInputStream())).endsWith("done");
+    speaks.close();
+    for (Socket s : fill) {
+      s.close();
+    }
+  }
+
+  /** The host may end it at any instant from then on, and what is written to it then may have run. */
+  @Test
+  void aConnectionThatHasStoodIdleTooLongIsNotUsedThoughUpkeepHasNotEndedItYet() throws Exception {
+    world.connIdle = 1_000;
+    World.DroppingHost host = world.new DroppingHost(900);
+    world.start(host);
+    assertThat(world.ask(claim("first"))).endsWith("served");
+    try (Socket s = world.client()) {
+      World.await(() -> world.clients() == 1);
+      AutoCloseable held = world.heldLoop();
+      long until = System.nanoTime() + 1_100_000_000L;
+      World.await(() -> System.nanoTime() > until);
+      write(s, claim("second"));
+      held.close();
+      assertThat(World.read(s.getInputStream())).endsWith("served");
+    }
+  }
+
   // --- a time that is over
 
   @Test
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -47,6 +47,9 @@
   boolean parallel = true;
   int connectTimeout = 500;
 
+  /** How long (ms) hosts keep a connection that carries nothing. */
+  int connIdle = 60_000;
+
   /** Whether discovery is a service that is asked, in place of an agent that pushes. */
   boolean asked;
 
@@ -272,7 +275,7 @@
             + "{\"name\":\"log\",\"aim\":" + aim + ",\"deadline\":" + deadline + ",\"semantics\":\"deduplicated\","
             + "\"keyScope\":\"cell\",\"repeatWindow\":" + window + "}],"
             + "\"limits\":{\"cancel\":" + cancel + ",\"retryAfter\":true,\"parallelTries\":" + parallel + ",\"maxAttempts\":3,"
-            + "\"peers\":" + !peers.isEmpty() + ",\"connIdle\":60000,\"connectTimeout\":" + connectTimeout + "},"
+            + "\"peers\":" + !peers.isEmpty() + ",\"connIdle\":" + connIdle + ",\"connectTimeout\":" + connectTimeout + "},"
             + "\"rules\":{\"cold\":1000,\"startCapacity\":1,\"fall\":1000,\"fallMultiple\":3,\"askWithin\":6000,\"drainGrace\":" + grace + "},"
             + (asked ? "\"membershipMode\":\"subscribe\"," : "")
             + ""
