Ask discovery after the rehearsal again, and wait for it half of the grace at most

Change: as before, asked after the rehearsal, where it answers within 0.1 s; waited for at most half of the drain's grace, from the settings, since an agent on the same machine answers at once or is silent.

DiscoveryTest passes (its grace is 4 s now, so that the wait outlasts the time in which the text before had sent).

--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -60,9 +60,12 @@
 
   private static final long RELOAD_RETRY_MS = 150;
 
-  /** How long (ms) after it has asked discovery a process may wait for the list before it listens. */
+  /** How long (ms) a process that takes over from another waits for discovery before it listens. */
   private static final long TOLD_MS = 1_500;
 
+  /** And any other, as a part of the drain's grace: an agent on the same machine answers at once, or is silent. */
+  private static final double TOLD_PART = 0.5;
+
   private final Operators operators;
   private final Generations generations;
   private final Sockets sockets;
@@ -87,7 +90,6 @@
   private long drainUntil;
   private long acceptUntil;
   private long giveUpAt;
-  private long followedAt;
 
   /** Counted down once it listens, or never will: an end that is asked for before waits so long. */
   private final CountDownLatch started = new CountDownLatch(1);
@@ -165,9 +167,8 @@
     if (config.management() != null) {
       listen(new Management(operators::serves, operators::sendAway, operators::takeBack, log), config);
     }
-    Proxy p = new Proxy(config, operators, generations, log);
-    p.follow(); // what it is told meanwhile costs no time
     Rehearsal.run(config, generations.others() != null, log);
+    Proxy p = new Proxy(config, operators, generations, log);
     String file = env.get("BALANCER_CONFIG");
     if (!Signals.onHangup(() -> p.reload(file))) {
       log.line("SIGHUP is ignored in this process: the configuration's time and size are looked at in its place");
@@ -213,18 +214,10 @@
     watched = new WatchedFile(Path.of(file));
   }
 
-  /** Starts the watch, ahead of {@link #start} or with it. */
-  void follow() {
-    if (followedAt == 0) {
-      followedAt = System.nanoTime();
-      loop.submit(() -> discovery.start(config.known())).syncUninterruptibly();
-    }
-  }
-
-  /** Listens, once it has been told of the hosts or has waited for that. */
+  /** Starts the watch, and listens once it has been told of the hosts or has waited for that. */
   void start() throws ConfigException {
     try {
-      follow();
+      loop.submit(() -> discovery.start(config.known())).sync();
       if (peers != null) {
         peers.start(loop);
       }
@@ -249,11 +242,12 @@
 
   /**
    * Waits for discovery's list. Guards against a new process that goes by the old list of its configuration: what discovery
-   * has counts as told from its first moment, so a host that drains already has no grace left. Where discovery is down this
-   * costs nothing once the rehearsal has taken as long.
+   * has counts as told from its first moment, so a host that drains already has no grace left. Where discovery is down it
+   * makes the start longer by as much.
    */
   private void awaitList() throws Exception {
-    long until = followedAt + TOLD_MS * 1_000_000;
+    double most = shared ? TOLD_MS : Math.min(TOLD_MS, TOLD_PART * config.drainGrace());
+    long until = System.nanoTime() + (long) (most * 1e6);
     while (!loop.submit(discovery::told).get() && System.nanoTime() < until) {
       Thread.sleep(POLL_MS);
     }
--- a/src/test/java/corkproxy/proxy/DiscoveryTest.java
+++ b/src/test/java/corkproxy/proxy/DiscoveryTest.java
@@ -300,6 +300,7 @@
             World.read(s.getInputStream()); // until the watch ends
           }
         };
+    world.grace = 4_000;
     world.listen = freePort();
     CompletableFuture<String> first =
         CompletableFuture.supplyAsync(() -> firstAnswer(world.listen));
