--- a/src/test/java/corkproxy/balancer/RulesTest.java
+++ b/src/test/java/corkproxy/balancer/RulesTest.java
@@ -18,22 +18,24 @@
 /** Random legal events against a balancer, judged by a checker that shares no code with it. */
 class RulesTest {
   private static final double SLACK = 20;
-  private static final double WINDOW = 300;
 
   /** What the checker itself knows of an attempt. */
   private static final class Try {
     final long host;
-    final double at;
+
+    /** When its first byte went out; NaN before. */
+    double at = Double.NaN;
+
     Result result;
 
-    Try(long host, double at) {
+    Try(long host) {
       this.host = host;
-      this.at = at;
     }
 
     boolean mayHaveRun() {
       return result == null
-          || !(result == Result.FULL || result == Result.CONNECT_FAILED || result == Result.MOOT);
+          ? !Double.isNaN(at)
+          : !(result == Result.FULL || result == Result.CONNECT_FAILED || result == Result.MOOT);
     }
   }
 
@@ -46,8 +48,13 @@
 
   private final class World implements Actions {
     final Random random;
+    final Settings settings;
     final boolean parallel;
     final int maxAttempts;
+
+    /** How long (ms) a connection may take to come up; in between much happens. */
+    final double lateness;
+
     final Map<Long, Req> reqs = new HashMap<>();
     final Map<Long, HostEntry> list = new HashMap<>();
     final Map<Long, List<Double>> coldSends = new HashMap<>();
@@ -62,6 +69,26 @@
       random = new Random(seed);
       parallel = random.nextBoolean();
       maxAttempts = 1 + random.nextInt(5);
+      lateness = 0;
+      settings =
+          Bench.settings(
+              parallel,
+              maxAttempts,
+              random.nextBoolean(),
+              Bench.type("safe", Semantics.IDEMPOTENT, Scope.ALL),
+              Bench.type("all", Semantics.DEDUPLICATED, Scope.ALL),
+              Bench.type("zone", Semantics.DEDUPLICATED, Scope.ZONE),
+              Bench.type("cell", Semantics.DEDUPLICATED, Scope.CELL),
+              Bench.type("once", Semantics.AT_MOST_ONCE, Scope.ALL));
+    }
+
+    /** One of a deployment that nobody has. */
+    World(long seed, Settings drawn, double lateness) {
+      this.random = new Random(seed);
+      this.settings = drawn;
+      this.parallel = drawn.limits().parallelTries();
+      this.maxAttempts = drawn.limits().maxAttempts();
+      this.lateness = lateness;
     }
 
     void at(double delay, Runnable what) {
@@ -85,16 +112,40 @@
         if (t.result == null && !parallel) {
           faults.add("rule 2: two attempts out");
         }
-        if (t.mayHaveRun() && !repeatable(r, t, h)) {
-          faults.add("rule 2: repeated where it may have run");
-        }
       }
       if (h != null && h.onlineSince() > 0 && now - h.onlineSince() < 8_000) {
         coldSends.computeIfAbsent(host, x -> new ArrayList<>()).add(now);
       }
       int number = r.tries.size();
-      Try t = new Try(host, now);
+      Try t = new Try(host);
       r.tries.add(t);
+      if (lateness > 0 && random.nextInt(3) == 0) {
+        at(Math.min(r.deadline - now, lateness * random.nextDouble()), () -> comesUp(id, r, t, number, apart));
+      } else {
+        write(id, r, t, number);
+      }
+    }
+
+    /** What an engine asks at the last moment: whether its client waits still, and how far apart it is from others. */
+    private void comesUp(long id, Req r, Try t, int number, double apart) {
+      boolean goes = !r.ended && now < r.deadline;
+      for (Try other : r.tries) {
+        goes &= other == t || !other.mayHaveRun() || now - other.at < apart;
+      }
+      if (t.result == null && goes) {
+        write(id, r, t, number);
+      } else {
+        settle(id, r, t, number, Result.MOOT, 0);
+      }
+    }
+
+    private void write(long id, Req r, Try t, int number) {
+      t.at = now;
+      for (Try other : r.tries) {
+        if (other != t && other.mayHaveRun() && !repeatable(r, other, list.get(t.host))) {
+          faults.add("rule 2: repeated where it may have run");
+        }
+      }
       double left = r.deadline - now;
       double p = random.nextDouble();
       double spent = Math.min(left, -60 * Math.log(1 - random.nextDouble()));
@@ -115,7 +166,7 @@
       if (r.type.semantics() == Semantics.IDEMPOTENT) {
         return true;
       }
-      if (r.type.semantics() == Semantics.AT_MOST_ONCE || now - t.at >= WINDOW) {
+      if (r.type.semantics() == Semantics.AT_MOST_ONCE || now - t.at >= r.type.repeatWindow()) {
         return false;
       }
       HostEntry first = list.get(t.host);
@@ -164,7 +215,7 @@
             && r.type.semantics() != Semantics.IDEMPOTENT
             && !(r.type.semantics() == Semantics.DEDUPLICATED
                 && r.type.scope() == Scope.ALL
-                && now - t.at < WINDOW)) {
+                && now - t.at < r.type.repeatWindow())) {
           faults.add("rule 2: refused where it may have run");
         }
       }
@@ -180,6 +231,13 @@
     public void cancel(long id, int attempt) {
       Req r = reqs.get(id);
       Try t = r.tries.get(attempt);
+      if (!settings.limits().cancel()) {
+        faults.add("cancelled where that is not allowed");
+      }
+      if (Double.isNaN(t.at)) {
+        at(0, () -> settle(id, r, t, attempt, Result.MOOT, 0));
+        return;
+      }
       at(0, () -> settle(id, r, t, attempt, Result.CANCELLED, now - t.at));
     }
 
@@ -228,16 +286,6 @@
     }
 
     void run(int hosts, double length) {
-      Settings settings =
-          Bench.settings(
-              parallel,
-              maxAttempts,
-              random.nextBoolean(),
-              Bench.type("safe", Semantics.IDEMPOTENT, Scope.ALL),
-              Bench.type("all", Semantics.DEDUPLICATED, Scope.ALL),
-              Bench.type("zone", Semantics.DEDUPLICATED, Scope.ZONE),
-              Bench.type("cell", Semantics.DEDUPLICATED, Scope.CELL),
-              Bench.type("once", Semantics.AT_MOST_ONCE, Scope.ALL));
       balancer = new Balancer(settings, random.nextLong(), this);
       for (HostEntry e : Bench.hosts(hosts)) {
         list.put(e.id(), e);
@@ -245,7 +293,7 @@
       balancer.onStart(now);
       balancer.onMembership(now, News.CACHED, new ArrayList<>(list.values()));
       double stop = now + length;
-      arrive(settings, stop);
+      arrive(stop);
       for (double t = 100; t < length; t += 100 + random.nextInt(400)) {
         at(t, () -> change(hosts));
       }
@@ -264,7 +312,7 @@
         }
         Object[] next = due.remove(first);
         now = Math.max(now, (double) next[0]);
-        if (now > stop + 5_000) {
+        if (now > stop + 12_000) {
           break;
         }
         ((Runnable) next[1]).run();
@@ -276,13 +324,14 @@
       }
     }
 
-    private void arrive(Settings settings, double stop) {
+    private void arrive(double stop) {
       if (now > stop) {
         return;
       }
       Req r = new Req();
-      r.type = settings.classes().get(random.nextInt(5));
-      double budget = random.nextInt(20) == 0 ? random.nextInt(3) - 1 : 50 + random.nextInt(700);
+      r.type = settings.classes().get(random.nextInt(settings.classes().size()));
+      double most = r.type.deadline();
+      double budget = random.nextInt(20) == 0 ? random.nextInt(3) - 1 : most / 16 + random.nextDouble() * 7 * most / 8;
       r.deadline = now + budget;
       long id = nextId++;
       reqs.put(id, r);
@@ -296,7 +345,7 @@
               }
             });
       }
-      at(-8 * Math.log(1 - random.nextDouble()), () -> arrive(settings, stop));
+      at(-8 * Math.log(1 - random.nextDouble()), () -> arrive(stop));
     }
   }
 
@@ -320,6 +369,53 @@
     assertThat(answered).isGreaterThan(10);
   }
 
+  /** Other customers': each of the settings drawn for itself, connections that come up late, and what clients allow. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 3, 9, 24})
+  void holdUnderDrawnSettings(int hosts) {
+    int answered = 0;
+    for (long seed = 0; seed < 40; seed++) {
+      Random draw = new Random(1_000 * hosts + seed);
+      World w = new World(seed * 31 + hosts, drawn(draw), draw.nextInt(1_500));
+      w.run(hosts, 3_000);
+      assertThat(w.faults).as("seed %d, settings %s", seed, w.settings).isEmpty();
+      answered += w.answered;
+    }
+    assertThat(answered).isGreaterThan(10_000);
+  }
+
+  private static Settings drawn(Random draw) {
+    List<Settings.RequestClass> classes = new ArrayList<>();
+    int n = 1 + draw.nextInt(20);
+    for (int i = 0; i < n; i++) {
+      double aim = 20 + draw.nextInt(2_000);
+      double deadline = Math.min(8_000, aim * (1 + 9 * draw.nextDouble()));
+      classes.add(
+          new Settings.RequestClass(
+              "c" + i,
+              aim,
+              deadline,
+              Semantics.values()[draw.nextInt(3)],
+              Scope.values()[draw.nextInt(3)],
+              5 + draw.nextInt(3_000),
+              draw.nextInt(10),
+              draw.nextInt(2)));
+    }
+    return new Settings(
+        classes,
+        List.of(),
+        new Settings.Limits(
+            draw.nextBoolean(), draw.nextBoolean(), draw.nextBoolean(), 1 + draw.nextInt(8), draw.nextInt(2_000), 1),
+        new Settings.Rules(
+            1 + draw.nextInt(20_000), 0.1 + 0.9 * draw.nextDouble(), 100 + draw.nextInt(3_000), 1 + draw.nextInt(5), 10_000),
+        draw.nextBoolean(),
+        draw.nextBoolean() ? "a" : "",
+        0,
+        1 + draw.nextInt(100),
+        draw.nextDouble(),
+        draw.nextBoolean());
+  }
+
   /** Rule 4: 125 requests a second over the hosts; the proxy's own share of a cold host. */
   private static void coldShare(World w, int hosts, Set<String> faults) {
     if (hosts < 2) {
