Force the crossings that were right already: hosts that change under a wait, unread ends, bodies at SIGTERM

Need: each crossing is to be shown by a test. A host that drains, goes, moves or starts anew while a connection to it comes up; an end of a pooled connection that stands unread behind the request; an answer and its deadline in one turn; a body half there at SIGTERM.

--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -6,12 +6,15 @@
 import static corkproxy.proxy.World.write;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -175,8 +178,148 @@
     }
   }
 
+  /** A discovery that tells its list, and what else it is given to tell. */
+  private final class Teller extends World.Server {
+    private final String list;
+    private final BlockingQueue<String> news = new LinkedBlockingQueue<>();
+
+    Teller(String list) throws IOException {
+      world.super();
+      this.list = list;
+    }
+
+    @Override
+    void serve(Socket s) throws IOException, InterruptedException {
+      World.read(s.getInputStream());
+      write(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list));
+      while (true) {
+        String line = news.poll(500, TimeUnit.MILLISECONDS);
+        write(s, chunk(line == null ? "" : line));
+      }
+    }
+
+    private String chunk(String line) {
+      return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
+    }
+  }
+
+  private static String news(boolean full, int version, String address, String state, long started) {
+    return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[{\"id\":\"h\",\"addr\":\"" + address
+        + "\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":1,\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":" + started
+        + "}]}";
+  }
+
+  /** What waits for the host as it was has not gone out, so it must not go out to what it has become, or after its grace. */
+  @ParameterizedTest
+  @ValueSource(strings = {"draining", "removed", "left out", "moved", "started anew"})
+  void aRequestThatWaitsForAHostIsNotSentToWhatTheHostHasBecome(String change) throws Exception {
+    World.LateHost host = world.new LateHost(h -> ok("late"));
+    World.Host other = world.new Host(h -> ok("other"));
+    Teller discovery = new Teller(news(true, 41, host.address(), "up", 0));
+    world.run(world.configure(discovery.address(), news(true, 40, host.address(), "up", 0)), World.quietLog());
+    try (Socket s = world.client()) {
+      write(s, claim("waits"));
+      World.await(() -> world.upstreams() == 1);
+      discovery.news.add(
+          switch (change) {
+            case "left out" -> "{\"version\":42,\"full\":true,\"servers\":[]}";
+            case "moved" -> news(false, 42, other.address(), "up", 0);
+            case "started anew" -> news(false, 42, host.address(), "up", System.currentTimeMillis());
+            default -> news(false, 42, host.address(), change, 0);
+          });
+      if (change.equals("started anew")) {
+        host.comesUp(); // for a connection of its own: the one before was withdrawn
+        assertThat(World.read(s.getInputStream())).endsWith("late");
+        assertThat(host.heads).hasSize(1);
+        World.await(() -> host.late() == 1);
+      } else {
+        assertThat(World.read(s.getInputStream())).contains(" 503 "); // refused: it never ran
+        assertThat(host.heads).isEmpty();
+        World.await(() -> world.upstreams() == 0);
+        host.comesUp();
+        assertThat(host.heads).isEmpty();
+      }
+    }
+  }
+
+  // --- a host's connection at the wrong instant
+
+  /** The request is read first, and the host's end of the pooled connection stands in the kernel behind it. */
+  @Test
+  void anEndOfAPooledConnectionThatNobodyHasReadIsSeenBeforeTheWrite() throws Exception {
+    World.Host host = world.new Host(h -> ok("done"));
+    world.start(host);
+    assertThat(world.ask(claim("warm"))).endsWith("done");
+    try (Socket s = world.client()) {
+      World.await(() -> world.clients() == 1);
+      Thread.sleep(10); // its rest is over
+      AutoCloseable held = world.heldLoop();
+      write(s, claim("crosses"));
+      host.open.get(0).shutdownOutput();
+      held.close();
+      assertThat(World.read(s.getInputStream())).endsWith("done");
+      assertThat(host.connections()).isEqualTo(2);
+    }
+  }
+
+  /** Whichever is taken first, there is one answer, and the next request has its own. */
+  @Test
+  void anAnswerAndItsDeadlineInOneTurnMakeOneAnswer() throws Exception {
+    world.deadline = 400;
+    CountDownLatch answers = new CountDownLatch(1);
+    CountDownLatch answered = new CountDownLatch(1);
+    World.Host host =
+        world.new Host(
+            h -> {
+              if (h.contains("both")) {
+                try {
+                  answers.await();
+                } catch (InterruptedException e) {
+                  Thread.currentThread().interrupt();
+                }
+              }
+              return ok(h.contains("both") ? "both" : "next");
+            }) {
+          @Override
+          void serve(Socket s) throws IOException {
+            super.serve(s);
+            answered.countDown();
+          }
+        };
+    world.start(host);
+    try (Socket s = world.client()) {
+      write(s, claim("both"));
+      World.await(() -> host.heads.size() == 1);
+      AutoCloseable held = world.heldLoop();
+      answers.countDown();
+      long until = System.nanoTime() + 500_000_000L;
+      World.await(() -> System.nanoTime() > until);
+      held.close();
+      assertThat(World.read(s.getInputStream())).matches("(?s)HTTP/1.1 (200 .*both|504 .*)");
+      write(s, claim("next"));
+      assertThat(World.read(s.getInputStream())).endsWith("next");
+      World.await(() -> world.open() == 0);
+    }
+  }
+
   // --- a restart with requests in flight
 
+  @Test
+  void aBodyThatIsHalfThereWhenTheEndBeginsIsTakenAndAnswered() throws Exception {
+    world.start(world.new Host(h -> ok("done")));
+    CompletableFuture<Void> ended;
+    try (Socket s = world.client()) {
+      write(s, claim("slow", "Content-Length: 4") + "ab");
+      World.await(() -> world.clients() == 1);
+      ended = world.drain();
+      long until = System.nanoTime() + 1_000_000_000L; // past the time at which nobody may stay who carries nothing
+      World.await(() -> System.nanoTime() > until);
+      write(s, "cd");
+      assertThat(World.read(s.getInputStream())).endsWith("done");
+    }
+    ended.get(World.PATIENCE_MS, TimeUnit.MILLISECONDS);
+  }
+
   /** SIGKILL comes 3.7 s after SIGTERM at the latest that is promised, however long a class may take. */
   @Test
   void aRequestWhoseClassMayTakeLongerThanSigkillLeavesIsAnsweredBeforeTheEnd() throws Exception {
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -309,6 +309,10 @@
     proxy.reload(file.toString());
   }
 
+  static Log quietLog() {
+    return new LineLog(quiet(), false);
+  }
+
   private static PrintStream quiet() {
     return new PrintStream(OutputStream.nullOutputStream(), true, StandardCharsets.UTF_8);
   }
