Cut an answer of no told length that never ends once its request's time is over

Need: an answer that never ends. Read in Exchange.timeUp: an answer that has begun to go to its client was let go on past the request's time, however little of it had come. Seen so in the test on the text before.

Change: past its time such an answer goes on only if it is known to be a long one, its client is the one that waits, or something has come within 0.4 s.

--- a/src/main/java/corkproxy/engine/Attempt.java
+++ b/src/main/java/corkproxy/engine/Attempt.java
@@ -10,6 +10,12 @@
  * answer is read is its protocol's; whether it may have run is decided here, from what went out.
  */
 public abstract class Attempt {
+  /**
+   * An answer that has begun to go to its client, is not known to be a long one and of which nothing has come for so long (ms)
+   * does not go on past the request's time: that has to end within 0.5 s after it.
+   */
+  protected static final long STILL_MS = 400;
+
   protected final Exchange exchange;
   final Host host;
   private final Dispatcher dispatcher;
@@ -91,6 +97,11 @@
     return false;
   }
 
+  /** Whether its answer, which has begun to go to the client, may go on past the request's time. */
+  protected boolean goesOn() {
+    return true;
+  }
+
   /** The attempt is over: gives back what was kept of its answer. */
   protected abstract void release();
 
--- a/src/main/java/corkproxy/engine/Exchange.java
+++ b/src/main/java/corkproxy/engine/Exchange.java
@@ -220,8 +220,10 @@
   private void timeUp() {
     for (int i = 0; i < attempts.size(); i++) {
       Attempt a = attempts.get(i);
-      if (a.open() && !(a.answering() && call.timedToFirstByte())) {
+      if (a.open() && !(a.answering() && call.timedToFirstByte() && a.goesOn())) {
         a.timeUp();
+      } else if (a.open()) {
+        later(Attempt.STILL_MS, this::timeUp);
       }
     }
     if (!answered) {
--- a/src/main/java/corkproxy/http/HttpAttempt.java
+++ b/src/main/java/corkproxy/http/HttpAttempt.java
@@ -34,6 +34,7 @@
   private boolean streaming;
   private long streamed;
   private double headAt;
+  private double cameAt;
   private boolean error;
 
   HttpAttempt(HttpCall call, Exchange exchange, Host host, int number, double now) {
@@ -215,6 +216,7 @@
     if (n == 0) {
       return;
     }
+    cameAt = dispatcher().now();
     if (streaming) {
       if (streamed + n > wire().protocol.maxStreamed()) {
         broken(); // it would never end
@@ -282,6 +284,18 @@
     return streaming && connection() != null && !connection().channel().config().isAutoRead();
   }
 
+  /**
+   * A long answer is timed to its first byte alone. Guards against one of no told length that never ends: it is none of the
+   * long ones yet, its client waits, and to pass it on was the only answer that the request gets.
+   */
+  @Override
+  protected boolean goesOn() {
+    return length > wire().protocol.maxAnswer()
+        || streamed > wire().protocol.maxAnswer()
+        || waitsForClient()
+        || dispatcher().now() - cameAt < STILL_MS;
+  }
+
   /** A spoilt answer: a failed attempt that may have run, and whose report is as good as it is. */
   @Override
   protected void broken() {
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -281,7 +281,7 @@
               return ok(h.contains("both") ? "both" : "next");
             }) {
           @Override
-          void serve(Socket s) throws IOException {
+          void serve(Socket s) throws IOException, InterruptedException {
             super.serve(s);
             answered.countDown();
           }
@@ -302,6 +302,31 @@
     }
   }
 
+  /** It has begun to go to its client, since it may be a long one, and then nothing comes: the client is owed an end. */
+  @Test
+  void anAnswerOfNoLengthThatNeverEndsIsSeenToBeCutOnceItsTimeIsOver() throws Exception {
+    world.deadline = 600;
+    String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmore\r\n";
+    World.Host host =
+        world.new Host(h -> head) {
+          @Override
+          void serve(Socket s) throws IOException, InterruptedException {
+            World.read(s.getInputStream());
+            write(s, head);
+            Thread.sleep(150); // past which an answer that still comes is passed on
+            write(s, "4\r\nmore\r\n");
+            World.read(s.getInputStream());
+          }
+        };
+    world.start(host);
+    try (Socket s = world.client()) {
+      write(s, claim("endless"));
+      assertThat(World.read(s.getInputStream())).contains(" 200 ");
+      assertThat(World.ends(s)).isTrue();
+    }
+    World.await(() -> world.open() == 0 && world.upstreams() == 0);
+  }
+
   // --- a restart with requests in flight
 
   @Test
--- a/src/test/java/corkproxy/proxy/ProxyTest.java
+++ b/src/test/java/corkproxy/proxy/ProxyTest.java
@@ -80,7 +80,7 @@
     World.Host host =
         world.new Host(h -> ok("done")) {
           @Override
-          void serve(Socket s) throws IOException {
+          void serve(Socket s) throws IOException, InterruptedException {
             super.serve(s);
             ended.incrementAndGet();
           }
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -128,7 +128,7 @@
     }
 
     @Override
-    void serve(Socket s) throws IOException {
+    void serve(Socket s) throws IOException, InterruptedException {
       String head;
       long answeredAt = System.nanoTime() - 1_000_000_000L;
       while ((head = read(s.getInputStream())) != null) {
