Force a new configuration against a connect that hangs, and against the old idle time

The watch's passes with one of its two guards out: the connect that comes up late finds itself replaced.

--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -398,6 +398,39 @@
     ended.get(World.PATIENCE_MS, TimeUnit.MILLISECONDS);
   }
 
+  // --- a new configuration
+
+  /** Hosts end idle connections sooner from then on, and a request that is written to one may have run. */
+  @Test
+  void theIdleTimeOfANewConfigurationHolds() throws Exception {
+    world.aim = 2_000; // two aims of idle time
+    World.DroppingHost host = world.new DroppingHost(400);
+    World.Discovery d = world.start(host);
+    assertThat(world.ask(claim("first"))).endsWith("served");
+    world.connIdle = 300;
+    world.configure(d.address(), d.list());
+    world.reload();
+    World.await(() -> world.upstreams() == 0); // long before four seconds are over
+    assertThat(world.ask(claim("second"))).endsWith("served");
+    assertThat(host.open).hasSize(2);
+  }
+
+  /** The connect that hangs belongs to the address before. */
+  @Test
+  void aNewConfigurationWhileAWatchIsBeingOpenedMovesIt() throws Exception {
+    World.Host old = world.new Host(h -> ok("old"));
+    World.Host next = world.new Host(h -> ok("next"));
+    World.LateHost hangs = world.new LateHost(h -> null);
+    world.run(world.configure(hangs.address(), world.new Discovery(40, old).list()), World.quietLog());
+    World.Discovery other = world.new Discovery(3, next);
+    world.configure(other.address(), "{}");
+    world.reload();
+    World.await(() -> other.asked.contains("/catalog/members?follow=1&since=3"));
+    hangs.comesUp();
+    assertThat(world.ask(claim("a"))).endsWith("next");
+    assertThat(hangs.heads).isEmpty();
+  }
+
   // --- upkeep, and a loop that is late
 
   /** It has written its request, and looks as silent as before only as long as nobody reads. */
