Take back all that wait for changed hosts before the first goes on to another

Seen: DiscoveryTest.aBadAnswerChangesNothing... failed once in twelve runs of the new tests: its claim was refused with 503 while the list changed.

Cause: Dispatcher.membership withdrew what waited host by host. What was withdrawn from the host that went was sent at once to the one that came in the same list, and withdrawn there again, as that host had changed, too, and its turn came later (the order of a hash set). Ruled out: discovery, the draw, the window's question.

Change: all are collected first, in the list's order. It costs requests their service wherever hosts are replaced.

Result: EndingsTest forces it by one list that takes a host away and brings another; seen to fail without.

--- a/src/main/java/corkproxy/engine/Dispatcher.java
+++ b/src/main/java/corkproxy/engine/Dispatcher.java
@@ -11,6 +11,7 @@
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -232,13 +233,14 @@
       change.cut().forEach(h -> suspicions.forget(h.id));
       suspicions.members(kind, entries);
     }
+    // Guards against a send to a host that drains or has moved while its connection comes up. All are taken back before the
+    // first goes on: it may go to a host that is new in this list, and is not to be taken back from there.
+    List<Attempt> unsent = new ArrayList<>();
     for (Host h : change.cut()) {
       ejected.remove(h.name);
-      // Guards against a send to a host that drains or has moved while its connection comes up.
-      for (Attempt a : upstreams.cut(h)) {
-        a.moot();
-      }
+      unsent.addAll(upstreams.cut(h));
     }
+    unsent.forEach(Attempt::moot);
     hosts.forgetGone();
   }
 
--- a/src/main/java/corkproxy/engine/Hosts.java
+++ b/src/main/java/corkproxy/engine/Hosts.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -59,7 +60,7 @@
   /** Applies a list. */
   Change apply(News news) {
     List<HostEntry> entries = new ArrayList<>(news.members().size());
-    Set<Host> cut = new HashSet<>();
+    Set<Host> cut = new LinkedHashSet<>();
     Set<Host> named = new HashSet<>();
     for (Member m : news.members()) {
       Host h = byName.get(m.name());
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -242,6 +242,24 @@
     }
   }
 
+  /** It goes on to the new one, and is not withdrawn from there because that has changed as well. */
+  @Test
+  void aRequestThatWaitsForAHostThatGoesIsServedByOneThatComesInTheSameList() throws Exception {
+    World.LateHost goes = world.new LateHost(h -> ok("goes"));
+    World.Host comes = world.new Host(h -> ok("comes"));
+    Teller discovery = new Teller(news(true, 41, goes.address(), "up", 0));
+    world.run(world.configure(discovery.address(), news(true, 40, goes.address(), "up", 0)), World.quietLog());
+    try (Socket s = world.client()) {
+      write(s, claim("waits"));
+      World.await(() -> world.upstreams() == 1);
+      String gone = news(false, 42, goes.address(), "removed", 0);
+      String entry = gone.substring(gone.indexOf("[{") + 1, gone.indexOf("]}"));
+      String come = entry.replace("\"h\"", "\"new\"").replace("removed", "up").replace(goes.address(), comes.address());
+      discovery.news.add(gone.replace(entry, entry + "," + come));
+      assertThat(World.read(s.getInputStream())).endsWith("comes");
+    }
+  }
+
   // --- a host's connection at the wrong instant
 
   /** The request is read first, and the host's end of the pooled connection stands in the kernel behind it. */
