--- a/src/main/java/corkproxy/engine/Exchange.java
+++ b/src/main/java/corkproxy/engine/Exchange.java
@@ -223,7 +223,8 @@
       if (a.open() && !(a.answering() && call.timedToFirstByte() && a.goesOn())) {
         a.timeUp();
       } else if (a.open()) {
-        later(Attempt.STILL_MS, this::timeUp);
+        // Not one of the timers that are kept: a long answer would add one to them each time. Harmless once it is over.
+        dispatcher.loop().schedule(this::timeUp, Attempt.STILL_MS, TimeUnit.MILLISECONDS);
       }
     }
     if (!answered) {
