Take lists of hosts that come indented over several lines

Discovery.Watch.lines ended a list at each line end, so the first line of such a list was 'can't be understood' and the watch was opened anew for ever: no news at all from such a discovery.

Change: a list ends with its last bracket, wherever its lines end.

--- a/src/main/java/corkproxy/proxy/Discovery.java
+++ b/src/main/java/corkproxy/proxy/Discovery.java
@@ -78,8 +78,8 @@
    */
   private static final double GRACE_PART = 0.25;
 
-  /** A longer line is no list of hosts. */
-  private static final int MAX_LINE = 4 << 20;
+  /** A longer text is no list of hosts. */
+  private static final int MAX_LIST = 4 << 20;
 
   private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -181,9 +181,12 @@
   void sweep() {
     if (watch != null) {
       boolean opening = !asked && hurried && !watch.heard;
-      if (System.nanoTime() - Hearing.behind() - watch.heardAt > (opening ? OPENING_NANOS : SILENCE_NANOS)) {
+      long heard = System.nanoTime() - Hearing.behind();
+      if (heard - watch.heardAt > (opening ? OPENING_NANOS : SILENCE_NANOS)) {
         hurried = !opening;
         watch.broken("silent");
+      } else if (watch.stuck(heard, SILENCE_NANOS)) {
+        watch.broken("can't be understood: a list that does not end");
       }
     }
   }
@@ -241,8 +244,15 @@
 
   private final class Watch extends ChannelInboundHandlerAdapter {
     private final Channel channel;
-    private byte[] line = new byte[4_096];
+    private byte[] text = new byte[4_096];
     private int size;
+
+    /** Where the present line begins in what is held: past 0, lines of an indented list stand before it, of which so many
+     * brackets are open, since then (ns). */
+    private int lineFrom;
+
+    private int brackets;
+    private long listSince;
     private long heardAt = System.nanoTime();
     private boolean heard;
     private boolean good;
@@ -317,9 +327,7 @@
 
     private void ended() {
       if (!following && size > 0) {
-        int length = size;
-        size = 0;
-        line(length);
+        list();
       }
       if (watch != this) {
         return;
@@ -334,41 +342,94 @@
     private void lines(ByteBuf bytes) {
       while (bytes.isReadable() && watch == this) {
         int end = bytes.bytesBefore((byte) '\n');
-        int n = end < 0 ? bytes.readableBytes() : end;
-        if (size + n > MAX_LINE) {
-          broken("a line without an end");
+        int n = end < 0 ? bytes.readableBytes() : end + 1;
+        if (size + n > MAX_LIST) {
+          broken("a list without an end");
           return;
         }
-        if (size + n > line.length) {
-          line = Arrays.copyOf(line, Math.max(2 * line.length, size + n));
+        if (size + n > text.length) {
+          text = Arrays.copyOf(text, Math.max(2 * text.length, size + n));
         }
-        bytes.readBytes(line, size, n);
+        bytes.readBytes(text, size, n);
         size += n;
         if (end >= 0) {
-          bytes.skipBytes(1);
-          int length = size;
+          lineEnds();
+        }
+      }
+    }
+
+    /** A list is one line, or is indented over several. A line that is cut is told at once where it can be. */
+    private void lineEnds() {
+      boolean indented = lineFrom > 0;
+      if (blank()) {
+        if (indented) {
+          broken("can't be understood: a list that is cut"); // discovery has nothing more to tell of it
+        } else {
           size = 0;
-          line(length);
+          good();
         }
+      } else if (goesOn()) {
+        listSince = indented ? listSince : System.nanoTime();
+        lineFrom = size;
+      } else {
+        list();
       }
     }
 
-    private void line(int length) {
-      boolean blank = true;
-      for (int i = 0; i < length && blank; i++) {
-        blank = line[i] <= ' ' && line[i] >= 0;
+    private boolean blank() {
+      for (int i = lineFrom; i < size; i++) {
+        if (text[i] > ' ' || text[i] < 0) {
+          return false;
+        }
       }
-      if (!blank) {
-        Hosts.News news;
-        try {
-          news = read(JSON.readTree(line, 0, length));
-        } catch (IOException | IllegalArgumentException e) {
-          // The last good list stays; what the line was to tell comes again from its version on.
-          broken("can't be understood: " + (e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage()));
-          return;
+      return true;
+    }
+
+    /** Whether the list goes on behind the present line: brackets are open, and it was not cut in the middle of a value. */
+    private boolean goesOn() {
+      boolean quoted = false;
+      byte last = 0;
+      for (int i = lineFrom; i < size; i++) {
+        byte c = text[i];
+        if (quoted) {
+          i += c == '\\' ? 1 : 0;
+          quoted = c != '"';
+        } else if (c == '"') {
+          quoted = true;
+        } else if (c == '{' || c == '[') {
+          brackets++;
+        } else if (c == '}' || c == ']') {
+          brackets--;
         }
-        apply(news);
+        last = c > ' ' ? c : last;
+      }
+      return !quoted && brackets > 0 && (lineFrom > 0 || last == '{' || last == '[' || last == ',');
+    }
+
+    /** Whether lines of a list have come, and the rest of it has not for so long (ns). */
+    boolean stuck(long now, long most) {
+      return lineFrom > 0 && now - listSince > most;
+    }
+
+    /** All of a list has come. */
+    private void list() {
+      int length = size;
+      size = 0;
+      lineFrom = 0;
+      brackets = 0;
+      Hosts.News news;
+      try {
+        news = read(JSON.readTree(text, 0, length));
+      } catch (IOException | IllegalArgumentException e) {
+        // The last good list stays; what this one was to tell comes again from its version on.
+        broken("can't be understood: " + (e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage()));
+        return;
       }
+      apply(news);
+      good();
+    }
+
+    private void good() {
       if (!good) {
         good = true;
         told = true;
--- a/src/test/java/corkproxy/proxy/DiscoveryTest.java
+++ b/src/test/java/corkproxy/proxy/DiscoveryTest.java
@@ -221,6 +221,77 @@
     }
   }
 
+  /** As one object a line is shown on the protocol's page, and as printers indent it. */
+  static Stream<String> indents() {
+    String whole = list(51, entry("next", "ADDRESS"));
+    String printed = whole.replaceAll("([{\\[,])", "$1\n  ").replaceAll("([}\\]])", "\n $1");
+    return Stream.of(whole, "   " + whole, whole.replace("[{", "[\n  {"), printed, printed.replace("\n", "\r\n"), printed.replace("  ", "\t"));
+  }
+
+  /** Tells this list, whole where it is asked for, and on a watch in pieces cut anywhere, with more behind it. */
+  private World.Server telling(String list, List<String> paths) throws IOException {
+    return world.new Server() {
+      @Override
+      void serve(Socket s) throws IOException {
+        String head;
+        while ((head = World.read(s.getInputStream())) != null) {
+          paths.add(head.split(" ")[1]);
+          if (!head.contains("follow")) {
+            write(s, ok(list));
+            continue;
+          }
+          write(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+          for (String piece : (list + "\n\n").split("(?<=[5\":])")) {
+            write(s, Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n");
+          }
+          stayOpen(s);
+        }
+      }
+    };
+  }
+
+  @ParameterizedTest
+  @MethodSource("indents")
+  void aListThatComesIndentedOnTheWatchIsTaken(String indented) throws Exception {
+    World.Host old = world.new Host(h -> ok("old"));
+    World.Host next = world.new Host(h -> ok("next"));
+    List<String> paths = new CopyOnWriteArrayList<>();
+    start(telling(indented.replace("ADDRESS", next.address()), paths), list(40, entry("old", old.address())));
+    World.await(() -> world.onLoop(() -> world.proxy.sends("next") && !world.proxy.sends("old")));
+    assertThat(paths).containsExactly("/catalog/members?follow=1&since=40");
+  }
+
+  @ParameterizedTest
+  @MethodSource("indents")
+  void aWholeListThatComesIndentedIsTaken(String indented) throws Exception {
+    World.Host next = world.new Host(h -> ok("next"));
+    List<String> paths = new CopyOnWriteArrayList<>();
+    start(telling(indented.replace("ADDRESS", next.address()), paths), "{}"); // no version to go on from
+    World.await(() -> paths.contains("/catalog/members?follow=1&since=51"));
+    assertThat(paths).containsExactly("/catalog/members", "/catalog/members?follow=1&since=51");
+    assertThat(world.<Boolean>onLoop(() -> world.proxy.sends("next"))).isTrue();
+  }
+
+  /** Its first lines look like any other list's; the empty line that follows when nothing changes shows that it is none. */
+  @Test
+  void anIndentedListThatIsCutIsAskedForAnew() throws Exception {
+    World.Host next = world.new Host(h -> ok("next"));
+    AtomicInteger watches = new AtomicInteger();
+    World.Server discovery =
+        world.new Server() {
+          @Override
+          void serve(Socket s) throws IOException {
+            World.read(s.getInputStream());
+            String list = list(51, entry("next", next.address()));
+            write(s, chunk(watches.incrementAndGet() == 1 ? "{\n  \"version\": 51,\n" : list + "\n"));
+            stayOpen(s);
+          }
+        };
+    start(discovery, list(40));
+    World.await(() -> world.onLoop(() -> world.proxy.sends("next")));
+    assertThat(watches).hasValue(2);
+  }
+
   private static String drains(long version, String id, String address) {
     return "{\"version\":" + version + ",\"full\":false,\"servers\":[" + entry(id, address).replace("\"up\"", "\"draining\"") + "]}";
   }
