Count the time that a request stood unread as its client's time

Cause: a request's time counts from its last byte, and RequestIntake counted it from the moment in which the loop read that byte.

Change: ClientConnection.cameAt is the earliest instant at which what is read can have come, less the 50 ms by which the protocol makes every time limit longer: by Hearing on a connection that rested, and by the last time the listener's queue was known to be empty for the first look at a new one.

Result: aRequestWhoseTimeWentByUnread... and aRequestThatWasReadLate... fail on the text before (2 of 2) and pass; aRequestThatComesSlowly... guards slow clients. EndingsTest, HearingTest, ArchitectureTest green.

--- a/src/main/java/corkproxy/engine/Hearing.java
+++ b/src/main/java/corkproxy/engine/Hearing.java
@@ -39,6 +39,7 @@
   private final IoHandler handler;
   private IoHandlerContext turn;
   private boolean waits;
+  private long turns;
   private long pollAt;
   private long askedFor;
   private long polled = System.nanoTime();
@@ -69,6 +70,12 @@
     return h == null ? 0 : Math.max(0, System.nanoTime() - h.until);
   }
 
+  /** How many turns the present loop has begun, its polls included; 0 off a loop. */
+  public static long turns() {
+    Hearing h = HERE.get();
+    return h == null ? 0 : h.turns;
+  }
+
   @Override
   public void initialize() {
     HERE.set(this);
@@ -78,6 +85,7 @@
   @Override
   public int run(IoHandlerContext context) {
     turn = context;
+    turns++;
     pollAt = System.nanoTime();
     waits = context.canBlock();
     askedFor = pollAt + (waits ? context.delayNanos(pollAt) : 0);
--- a/src/main/java/corkproxy/http/ClientConnection.java
+++ b/src/main/java/corkproxy/http/ClientConnection.java
@@ -27,6 +27,9 @@
 
   private static final long PARTIAL_NANOS = 500_000_000L;
 
+  /** By how much (ns) each time limit is longer on sockets, by the protocol. */
+  private static final long SLACK_NANOS = 50_000_000L;
+
   /** How long (ms) the end of a rejected message is awaited, so that its client sees its answer. */
   private static final long LINGER_MS = 500;
 
@@ -44,6 +47,7 @@
   private final AnswerWriter answers;
   private final RequestIntake intake;
   private final long openedAt = System.nanoTime();
+  private final long letInAt;
   private final long slowNanos;
   private final ArrayDeque<Held> held = new ArrayDeque<>(0);
   private int heldRequests;
@@ -58,8 +62,10 @@
   private boolean told;
   private long idleSince;
 
-  ClientConnection(Front front, SocketChannel channel, RequestDecoder decoder) {
+  /** {@code letInAt} (ns) is the earliest at which it can have been let in: its client may have written since then. */
+  ClientConnection(Front front, SocketChannel channel, RequestDecoder decoder, long letInAt) {
     this.front = front;
+    this.letInAt = letInAt;
     this.channel = channel;
     this.decoder = decoder;
     this.answers = new AnswerWriter(this, front, channel);
@@ -100,6 +106,17 @@
 
   // --- reading
 
+  /**
+   * When (ns) what is read now can have come at the earliest, less what every time limit is longer by. Guards against a late
+   * loop: a request's time counts from its last byte, and one that stood in the kernel for longer than its client waits is not
+   * sent on, nor answered when all of its time has gone by once more. It does harm where a stop was shorter than it looks,
+   * by a refusal.
+   */
+  private long cameAt() {
+    long earliest = decoder.firstLook() ? Math.min(Front.heard(), letInAt) : Math.max(Front.heard(), idleSince);
+    return Math.min(System.nanoTime(), earliest + SLACK_NANOS);
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object msg) {
     try {
@@ -111,7 +128,7 @@
         idleSince = System.nanoTime();
         intake.skip((HttpObject) msg);
       } else if (intake.upload() != null || call == null && held.isEmpty()) {
-        intake.take((HttpObject) msg, System.nanoTime());
+        intake.take((HttpObject) msg, cameAt());
       } else if (front.settings().pipeline() > 1) {
         hold((HttpObject) msg);
       } else {
@@ -129,7 +146,7 @@
    */
   private void hold(HttpObject part) {
     channel.config().setAutoRead(false);
-    held.add(new Held(ReferenceCountUtil.retain(part), System.nanoTime()));
+    held.add(new Held(ReferenceCountUtil.retain(part), cameAt()));
     if (part instanceof LastHttpContent && ++heldRequests >= front.settings().pipeline() - 1) {
       decoder.hold();
     }
--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -133,7 +133,7 @@
     // Not with the handlers: they never hear of a connection that was reset before its turn.
     ch.closeFuture().addListener(f -> sockets.clientClosed());
     ch.pipeline()
-        .addLast(decoder, new HttpResponseEncoder(), new ClientConnection(this, ch, decoder));
+        .addLast(decoder, new HttpResponseEncoder(), new ClientConnection(this, ch, decoder, letInAt()));
     if (listener != null) {
       makeRoom();
     } else if (!sockets.roomForClient()) {
@@ -147,6 +147,11 @@
     }
   }
 
+  /** The earliest (ns) at which the connection that is accepted now can have been let in, where this front listens itself. */
+  private long letInAt() {
+    return listener == null ? heard() : listener.since();
+  }
+
   /**
    * Sees to it that one more client can be accepted. Guards usual clients against crowds: whoever
    * says nothing, or has been answered, makes room, and where nobody can, the rest waits in the
@@ -159,6 +164,7 @@
       if (c == null) {
         if (listener.config().isAutoRead()) {
           listener.config().setAutoRead(false);
+          listener.held();
           listener.eventLoop().schedule(this::rested, REST_MS, TimeUnit.MILLISECONDS);
         }
         return;
@@ -206,7 +212,7 @@
    * Until when (ns) all that clients have sent has been read. Guards against the end of one whose request stands in the
    * kernel while the loop is behind: it looks silent for as long as nobody reads.
    */
-  private static long heard() {
+  static long heard() {
     return System.nanoTime() - Hearing.behind();
   }
 
--- a/src/main/java/corkproxy/http/RequestDecoder.java
+++ b/src/main/java/corkproxy/http/RequestDecoder.java
@@ -1,5 +1,6 @@
 package corkproxy.http;
 
+import corkproxy.engine.Hearing;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -21,6 +22,7 @@
   private int scanned;
   private boolean removed;
   private boolean held;
+  private long firstTurn;
 
   RequestDecoder() {
     super(HttpProtocol.DECODER);
@@ -32,6 +34,9 @@
       receiving = true;
       since = System.nanoTime();
     }
+    if (firstTurn == 0) {
+      firstTurn = Hearing.turns();
+    }
     super.channelRead(ctx, msg);
   }
 
@@ -92,6 +97,11 @@
     }
   }
 
+  /** Whether what comes now was found at the first look at this connection. */
+  boolean firstLook() {
+    return firstTurn == Hearing.turns();
+  }
+
   boolean receiving() {
     return receiving;
   }
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -517,4 +517,68 @@
     World.await(() -> world.open() == 0);
     assertThat(host.heads).isEmpty();
   }
+
+  /** It stood in the kernel for longer than its client waits: on a connection that rested, and on new ones in the backlog. */
+  @Test
+  void aRequestWhoseTimeWentByUnreadIsAnsweredAtOnceAndNotSent() throws Exception {
+    world.deadline = 400;
+    World.Host host = world.new Host(h -> ok("done"));
+    world.start(host);
+    List<Socket> clients = new ArrayList<>();
+    clients.add(world.client());
+    write(clients.get(0), claim("warm"));
+    assertThat(World.read(clients.get(0).getInputStream())).endsWith("done");
+    AutoCloseable held = world.heldLoop();
+    for (int i = 0; i < 12; i++) { // more than are accepted in one turn
+      Socket s = i == 0 ? clients.get(0) : world.client();
+      write(s, claim("unread" + i));
+      clients.add(s);
+    }
+    long until = System.nanoTime() + 800_000_000L;
+    World.await(() -> System.nanoTime() > until);
+    held.close();
+    for (Socket s : clients.subList(1, clients.size())) {
+      assertThat(World.read(s.getInputStream())).contains(" 503 ");
+      s.close();
+    }
+    assertThat(host.heads).hasSize(1);
+    assertThat(world.ask(claim("next"))).endsWith("done"); // no more is held against what comes later
+  }
+
+  /** Of its time a second and a half went by unread; all of it once more would end half a second too late and more. */
+  @Test
+  void aRequestThatWasReadLateIsAnsweredInItsOwnTime() throws Exception {
+    world.deadline = 3_000;
+    World.Host hangs = world.new Host(h -> null);
+    world.start(hangs);
+    try (Socket s = world.client()) {
+      World.await(() -> world.clients() == 1);
+      AutoCloseable held = world.heldLoop();
+      write(s, claim("late"));
+      long at = System.nanoTime();
+      World.await(() -> System.nanoTime() > at + 1_500_000_000L);
+      held.close();
+      assertThat(World.read(s.getInputStream())).contains(" 504 ");
+      assertThat(System.nanoTime() - at).isBetween(1_500_000_000L, 4_000_000_000L);
+      assertThat(hangs.heads).hasSize(1);
+    }
+  }
+
+  /** What comes slowly has its time from its last byte on: only what the loop left unread is taken off. */
+  @Test
+  void aRequestThatComesSlowlyHasItsTimeFromItsLastByteOn() throws Exception {
+    world.deadline = 400;
+    world.start(world.new Host(h -> ok("done")));
+    try (Socket s = world.client()) {
+      String request = claim("slow", "Content-Length: 4");
+      write(s, request.substring(0, 20));
+      World.await(() -> world.clients() == 1);
+      for (String piece : List.of(request.substring(20) + "ab", "cd")) {
+        long until = System.nanoTime() + 500_000_000L;
+        World.await(() -> System.nanoTime() > until);
+        write(s, piece);
+      }
+      assertThat(World.read(s.getInputStream())).endsWith("done");
+    }
+  }
 }
