Refuse at once what no descriptor is left for, and let no host pay for it

Cause: Upstreams.connect gave a call that our own bound had no descriptor for back as a failed connect, so the host paid for it, up to its ejection and to word of its silence to peers. Where the system had none, netty gives back a channel that was never opened: its end never comes, so the count of connections stayed one too high for ever, its future is told off the loop, and closing it throws in the middle of the attempt's end, which left the request to its deadline and the module's count in flight one too high.

Change: both are known at once and end as moot: never ran, no fault of the host's.

--- a/src/main/java/corkproxy/engine/Upstreams.java
+++ b/src/main/java/corkproxy/engine/Upstreams.java
@@ -266,17 +266,18 @@
   /** Opens a connection for the call; its place has been taken. */
   private void connect(Attempt call, Host host) {
     ConnectionLimits.Places places = bounds.limits() == null ? null : places(host);
-    if (!sockets.roomForUpstream()) {
+    ChannelFuture f = sockets.roomForUpstream() ? bootstrap.connect(host.address) : null;
+    if (f == null || !f.channel().isRegistered()) {
+      // The bound is reached, or the system's. Guards against a host that pays for what is ours: it had no part in it.
       if (refused++ % 100 == 0) {
         log.line("out of sockets: " + refused + " attempts had none");
       }
       if (places != null) {
         places.give();
       }
-      call.notSent();
+      call.moot();
       return;
     }
-    ChannelFuture f = bootstrap.connect(host.address);
     Channel channel = f.channel();
     sockets.upstreamOpened();
     channel
