Send no long body on whose client has left, and leave none of them half out

Cause, three lines: Upload.flow stops the reading of a client while nobody takes its body, and RequestIntake.complete left it stopped once all of it had come, so its end was never seen while a connection came up; a last part that stood in the kernel with that end behind it was passed on unasked; and Exchange.clientGone left a request that never comes whole to the module, which ends nothing where the deployment allows no cancel: its host waited for the rest, counted in flight and holding a descriptor, for up to an hour (the time of a long body).

Change: reading goes on once a body is whole; the socket is asked for its end before the last part goes out; what can't come whole is ended with its client.

LargeBodiesTest, StreamingTest green.

--- a/src/main/java/corkproxy/engine/Exchange.java
+++ b/src/main/java/corkproxy/engine/Exchange.java
@@ -202,8 +202,9 @@
     tallied |= !began;
     dispatcher.clientGone(this);
     // What is out without an answer is the module's to call off, where the deployment lets it. One whose
-    // answer streams, or whose request has failed on its client's side, has nobody to go to.
-    for (int i = 0; began && i < attempts.size(); i++) {
+    // answer streams, or whose request has failed on its client's side, has nobody to go to; one whose request
+    // never comes whole would wait at its host for the rest.
+    for (int i = 0; (began || call.comes()) && i < attempts.size(); i++) {
       if (attempts.get(i).open()) {
         attempts.get(i).cancel();
       }
--- a/src/main/java/corkproxy/http/RequestIntake.java
+++ b/src/main/java/corkproxy/http/RequestIntake.java
@@ -149,6 +149,9 @@
     if (part instanceof HttpRequest request) {
       begin(request, at);
     }
+    if (upload != null && part instanceof LastHttpContent && !front.settings().daemon() && abandoned()) {
+      return; // the last byte is not sent on: its client left while a connection was waited for, and its end was not read
+    }
     if (part instanceof HttpContent content && client.takes()) {
       ByteBuf bytes = content.content();
       if (bytes.isReadable()) {
@@ -309,6 +312,7 @@
     if (upload != null) {
       Upload whole = upload;
       upload = null;
+      channel.config().setAutoRead(true); // it may have waited for room; from here on its client's end is to be seen
       if (client.call() != null) {
         client.call().whole();
       }
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -155,6 +155,44 @@
     }
   }
 
+  /** More than is held, so that the rest stands in the kernel, unread, with its client's end behind it. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aLongBodyWhoseClientLeftWhileItWaitedIsNotSentOnWhole(boolean cancel) throws Exception {
+    world.cancel = cancel;
+    World.LateHost host = world.new LateHost(h -> ok("late"));
+    world.start(host);
+    int size = (1 << 20) + 100_000;
+    try (Socket leaver = world.client()) {
+      write(leaver, claim("leaver", "Content-Length: " + size) + "x".repeat(size));
+      World.await(() -> world.upstreams() == 1);
+    }
+    host.comesUp();
+    World.await(() -> world.open() == 0 && world.upstreams() == 0 && world.clients() == 0);
+    assertThat(world.ask(claim("next"))).endsWith("late");
+    assertThat(whole(host, size)).isZero();
+  }
+
+  /** Requests of which the host has got a body so long, to its last byte. */
+  private static long whole(World.Host host, int size) {
+    return host.heads.stream().filter(h -> h.length() - h.indexOf("\r\n\r\n") - 4 == size).count();
+  }
+
+  /** Its host waits for a rest that never comes: nobody else ends that where the deployment allows no cancel. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aLongBodyThatBreaksOffLeavesNothingOut(boolean cancel) throws Exception {
+    world.cancel = cancel;
+    World.Host host = world.new Host(h -> ok("done"));
+    world.start(host);
+    try (Socket leaver = world.client()) {
+      write(leaver, claim("leaver", "Content-Length: " + (3 << 20)) + "x".repeat(2 << 20));
+      World.await(() -> host.connections() == 1);
+    }
+    World.await(() -> world.open() == 0 && world.upstreams() == 0 && world.clients() == 0);
+    assertThat(whole(host, 3 << 20)).isZero();
+  }
+
   /** Either may be the first: what counts is when the other's first byte went out. */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
