Begin discovery's waits anew after a watch on which nothing has changed

Cause: the module doubles its wait before discovery is asked again up to half of askWithin, and only news made it begin anew. A watch that came back after an outage and had nothing to tell (an empty line) left it long: 3.2 s of silence and up to 1.5 times that wait is past the 6 s after which what a silent watch misses counts as told.

Change: the first empty line of a watch is told to the module as changes of which there are none.

--- a/src/main/java/corkproxy/proxy/Discovery.java
+++ b/src/main/java/corkproxy/proxy/Discovery.java
@@ -366,7 +366,7 @@
           broken("can't be understood: a list that is cut"); // discovery has nothing more to tell of it
         } else {
           size = 0;
-          good();
+          unchanged();
         }
       } else if (goesOn()) {
         listSince = indented ? listSince : System.nanoTime();
@@ -429,6 +429,17 @@
       good();
     }
 
+    /**
+     * Nothing has changed. Guards, where discovery is asked, against waits that have grown while it failed and that the
+     * module would keep for the next break: from a silence on there are 6 s, and they could be longer.
+     */
+    private void unchanged() {
+      if (!good && asked && version != NO_VERSION) {
+        dispatcher.membership(News.DELTA, new Hosts.News(version, false, List.of()));
+      }
+      good();
+    }
+
     private void good() {
       if (!good) {
         good = true;
--- a/src/test/java/corkproxy/proxy/DiscoveryTest.java
+++ b/src/test/java/corkproxy/proxy/DiscoveryTest.java
@@ -329,6 +329,38 @@
     World.await(() -> world.onLoop(() -> world.proxy.sends("next") && !world.proxy.sends("old")));
   }
 
+  /** The waits grew while discovery failed; a watch on which nothing has changed is as good as any, and they begin anew. */
+  @Test
+  void whereDiscoveryIsAskedAQuietWatchEndsTheWaitsThatGrewBeforeIt() throws Exception {
+    world.asked = true;
+    World.Host host = world.new Host(h -> ok("done"));
+    AtomicInteger calls = new AtomicInteger();
+    AtomicLong silentFrom = new AtomicLong();
+    AtomicLong askedAt = new AtomicLong();
+    World.Server discovery =
+        world.new Server() {
+          @Override
+          void serve(Socket s) throws IOException {
+            World.read(s.getInputStream());
+            if (calls.incrementAndGet() <= 4) {
+              write(s, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+              s.close();
+            } else if (calls.get() == 5) {
+              write(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+              silentFrom.set(System.nanoTime());
+              World.read(s.getInputStream()); // until the watch ends
+            } else {
+              askedAt.compareAndSet(0, System.nanoTime());
+              stayOpen(s);
+            }
+          }
+        };
+    start(discovery, list(40, entry("h", host.address())));
+    World.await(() -> askedAt.get() != 0);
+    // 3 s of silence, 0.2 s until it is looked at, and the first wait of 0.75 s at the most.
+    assertThat(askedAt.get() - silentFrom.get()).isBetween(2_900_000_000L, 4_400_000_000L);
+  }
+
   /** What the agent gets while no watch is open counts as told at once. */
   @ParameterizedTest
   @ValueSource(ints = {250, 500})
