Take back what waits for a host that has come to another cell or zone

Cause: Hosts.apply named a host as changed for its address, its start and its state, not for its cell and zone. A keyed request may be repeated within its group alone, and the group is judged when the wait for a connection begins: a copy went out to a cell that knows nothing of what the first one has run.

Change: a host that stands elsewhere is one that has changed, so what has not gone out is taken back and decided anew.

Whether a platform's hosts ever change their cell is not told.

--- a/src/main/java/corkproxy/engine/Host.java
+++ b/src/main/java/corkproxy/engine/Host.java
@@ -21,6 +21,11 @@
   boolean sendable;
   boolean listed;
 
+  /** Where it stands: what was judged by a group of hosts may not go to it once it belongs to another. */
+  String zone = "";
+
+  long cell;
+
   /** When its process started, as discovery tells: connections to an earlier one are dead. */
   double started;
 
--- a/src/main/java/corkproxy/engine/Hosts.java
+++ b/src/main/java/corkproxy/engine/Hosts.java
@@ -76,10 +76,13 @@
       named.add(h);
       h.listed = m.condition() != HostEntry.Condition.GONE;
       h.sendable = m.condition() == HostEntry.Condition.READY;
-      if (!h.sendable || !m.address().equals(h.address) || h.started != started) {
+      boolean elsewhere = h.cell != m.cell() || !h.zone.equals(m.zone());
+      if (!h.sendable || elsewhere || !m.address().equals(h.address) || h.started != started) {
         cut.add(h);
       }
       h.started = started;
+      h.zone = m.zone();
+      h.cell = m.cell();
       if (m.address() != null) {
         h.address = m.address();
       }
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -280,6 +280,33 @@
     }
   }
 
+  private static String entry(String id, String address, int cell) {
+    return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":" + cell
+        + ",\"state\":\"up\",\"weight\":1.0,\"started_ms\":0}";
+  }
+
+  /** A copy was judged by the cell in which both hosts stood; another cell knows nothing of what the first one has run. */
+  @Test
+  void aCopyThatWaitsIsNotSentToAHostThatHasComeToAnotherCell() throws Exception {
+    world.aim = 100;
+    World.Host hangs = world.new Host(h -> null);
+    World.LateHost late = world.new LateHost(h -> ok("late"));
+    String list = "{\"version\":41,\"full\":true,\"servers\":[" + entry("hangs", hangs.address(), 1) + ","
+        + entry("late", late.address(), 1) + "]}";
+    Teller discovery = new Teller(list);
+    world.run(world.configure(discovery.address(), list), World.quietLog());
+    try (Socket s = world.client()) {
+      write(s, log("keyed"));
+      World.await(() -> hangs.heads.size() == 1 && world.upstreams() == 2);
+      discovery.news.add(
+          "{\"version\":42,\"full\":false,\"servers\":[" + entry("late", late.address(), 2) + "]}");
+      World.await(() -> world.upstreams() == 1);
+      late.comesUp();
+      assertThat(late.heads).isEmpty();
+      assertThat(world.open()).isEqualTo(1); // the one that hangs may answer still
+    }
+  }
+
   /** It goes on to the new one, and is not withdrawn from there because that has changed as well. */
   @Test
   void aRequestThatWaitsForAHostThatGoesIsServedByOneThatComesInTheSameList() throws Exception {
