Withdraw what is stuck in its write when the window of another attempt ends

Cause: Exchange.maySend judges a keyed request's window at the first byte, but a host counts an attempt from its last, and one that takes only part of it may get the rest at any time later: with a second attempt out meanwhile that is an effect past its window.

Change: when an attempt goes out, each one of its request whose last byte is still ours is given until the window of the others ends. It never ran then.

EndingsTest, LargeBodiesTest, ProxyTest, DescriptorsTest green.

--- a/src/main/java/corkproxy/engine/Attempt.java
+++ b/src/main/java/corkproxy/engine/Attempt.java
@@ -120,6 +120,16 @@
     wroteAt = dispatcher.now();
   }
 
+  /** Its first byte has gone out, and what its host takes at once. */
+  final void begun() {
+    exchange.begun();
+  }
+
+  /** Whether it has begun to go out, and its last byte has not: that may come much later, as its host takes it. */
+  final boolean unfinished() {
+    return !over && connection != null && !connection.written();
+  }
+
   protected final UpstreamConnection connection() {
     return connection;
   }
--- a/src/main/java/corkproxy/engine/Exchange.java
+++ b/src/main/java/corkproxy/engine/Exchange.java
@@ -250,6 +250,31 @@
     return true;
   }
 
+  /**
+   * One more attempt has begun to go out. Guards rule 2: a host counts an attempt from its last byte, and that one, too, has to
+   * be out while the class may be repeated after each other attempt that may run.
+   */
+  void begun() {
+    for (int i = 0; attempts.size() > 1 && i < attempts.size(); i++) {
+      Attempt a = attempts.get(i);
+      if (!a.unfinished()) {
+        continue;
+      }
+      double left = deadlineAt - dispatcher.now();
+      for (int k = 0; k < attempts.size(); k++) {
+        Attempt other = attempts.get(k);
+        left = k != i && other.mayRun() ? Math.min(left, other.wroteAt() + a.apart() - dispatcher.now()) : left;
+      }
+      later(
+          left,
+          () -> {
+            if (a.unfinished()) {
+              a.moot();
+            }
+          });
+    }
+  }
+
   /**
    * Ends what is out for nobody and of which the last byte is not: it never ran. Guards rule 1 where the module may not
    * cancel, and so does not: a connection that comes up late would carry it on after its end.
--- a/src/main/java/corkproxy/engine/UpstreamConnection.java
+++ b/src/main/java/corkproxy/engine/UpstreamConnection.java
@@ -93,6 +93,7 @@
                 }
               }
             });
+    next.begun();
   }
 
   /** An attempt is about to be written: what was read for the one before is of no account. */
--- /dev/null
+++ b/src/test/java/corkproxy/engine/Pool.java
@@ -0,0 +1,223 @@
+package corkproxy.engine;
+
+import corkproxy.balancer.Arrival;
+import corkproxy.balancer.HostEntry;
+import corkproxy.balancer.LoadReport;
+import corkproxy.balancer.Result;
+import corkproxy.balancer.Settings;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+
+/** The engine before hosts on loopback sockets, with a protocol in which one byte is a request, and its answer. */
+final class Pool {
+  /** Far within a request's time, in which it would fail of itself. */
+  private static final long PATIENCE_S = 20;
+
+  private final MultiThreadIoEventLoopGroup group;
+  private final EventLoop loop;
+  private final List<ServerSocket> hosts = new ArrayList<>();
+  private final Dispatcher dispatcher;
+  final Sockets sockets = new Sockets(140);
+
+  /** Final answers, in the order in which they were given. */
+  final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+
+  /** Connections that hosts have accepted, and those of them that have ended again. */
+  final List<Socket> accepted = new CopyOnWriteArrayList<>();
+
+  final List<Socket> ended = new CopyOnWriteArrayList<>();
+
+  /** Whether hosts send back what they get. */
+  volatile boolean answer = true;
+
+  /** How an attempt of this number is written; by default its byte goes out at once. */
+  volatile BiFunction<Integer, Channel, ChannelFuture> write =
+      (number, channel) -> channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[] {1}));
+
+  Pool(Transport transport, int size, Settings.RequestClass type) throws Exception {
+    group = new MultiThreadIoEventLoopGroup(1, transport.loops());
+    loop = (EventLoop) group.next();
+    List<Hosts.Member> members = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      ServerSocket host = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+      hosts.add(host);
+      spawn(() -> accept(host));
+      InetSocketAddress address = (InetSocketAddress) host.getLocalSocketAddress();
+      members.add(new Hosts.Member("h" + i, address, "z", "k", 1, HostEntry.Condition.READY, 1, 0));
+    }
+    Settings settings =
+        new Settings(
+            List.of(type), List.of(), new Settings.Limits(true, true, true, 3, 1_000, 1),
+            new Settings.Rules(1_000, 1, 1_000, 3, 6_000), false, "z", 0, 1, 1, false);
+    Log log = new LineLog(new PrintStream(OutputStream.nullOutputStream()), false);
+    Upstreams upstreams = new Upstreams(loop, transport, this::connection, PoolBounds.unbounded(10_000, 5_000), sockets, log);
+    dispatcher =
+        onLoop(
+            () -> {
+              Dispatcher d = new Dispatcher(null, loop, settings, 7, upstreams, new BodyBudget(1 << 20), log);
+              d.start(new Hosts.News(1, true, members), () -> {});
+              return d;
+            });
+  }
+
+  private interface Task {
+    void run() throws IOException;
+  }
+
+  private static void spawn(Task what) {
+    Thread t =
+        new Thread(
+            () -> {
+              try {
+                what.run();
+              } catch (IOException e) {
+                // the other side, or the test, has ended it
+              }
+            });
+    t.setDaemon(true);
+    t.start();
+  }
+
+  private void accept(ServerSocket host) throws IOException {
+    while (true) {
+      Socket s = host.accept();
+      accepted.add(s);
+      spawn(
+          () -> {
+            int b;
+            while ((b = s.getInputStream().read()) >= 0) {
+              if (answer) {
+                s.getOutputStream().write(b);
+              }
+            }
+            ended.add(s);
+          });
+    }
+  }
+
+  <T> T onLoop(Callable<T> what) throws Exception {
+    return loop.submit(what).get(PATIENCE_S, TimeUnit.SECONDS);
+  }
+
+  /** Gives it a request that has all the time of a test; its final answer comes to {@link #answers}. */
+  void take() throws Exception {
+    onLoop(
+        () -> {
+          dispatcher.take(new OneByte(), new Arrival(0, "c", null, 60_000, Double.NaN, false), null);
+          return null;
+        });
+  }
+
+  /** The final answer to one request, or null where there is none in time. */
+  String ask() throws Exception {
+    take();
+    return answers.poll(PATIENCE_S, TimeUnit.SECONDS);
+  }
+
+  int open() throws Exception {
+    return onLoop(dispatcher::open);
+  }
+
+  /** Whether nothing is open, no host has anything in flight, and none is left out. */
+  boolean atRest() throws Exception {
+    return onLoop(() -> dispatcher.open() == 0 && dispatcher.busyHosts().isEmpty() && dispatcher.ejectedHosts().isEmpty());
+  }
+
+  void close() throws Exception {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+    for (ServerSocket h : hosts) {
+      h.close();
+    }
+    for (Socket s : accepted) {
+      s.close();
+    }
+  }
+
+  /** A request of one byte, and its answer. */
+  private final class OneByte implements Call {
+    @Override
+    public void carriedBy(Exchange exchange) {}
+
+    @Override
+    public Attempt attempt(Exchange exchange, Host host, int number, double now) {
+      return new Attempt(exchange, host, number, now) {
+        @Override
+        protected ChannelFuture write(Channel channel) {
+          return write.apply(number, channel);
+        }
+
+        @Override
+        protected LoadReport report() {
+          return null;
+        }
+
+        @Override
+        protected void release() {}
+      };
+    }
+
+    @Override
+    public void refused(double coolDownMs) {
+      answers.add("refused");
+    }
+
+    @Override
+    public void failed(boolean timeUp) {
+      answers.add("failed");
+    }
+
+    @Override
+    public void free() {}
+  }
+
+  private UpstreamConnection connection(Upstreams pool, Host host, Channel channel) {
+    UpstreamConnection c = new Answered(pool, host, channel);
+    channel.pipeline().addLast(c);
+    return c;
+  }
+
+  private final class Answered extends UpstreamConnection {
+    private Answered(Upstreams pool, Host host, Channel channel) {
+      super(pool, host, channel);
+    }
+
+    @Override
+    protected void begin() {}
+
+    @Override
+    protected boolean heard() {
+      return false;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object msg) {
+      ReferenceCountUtil.release(msg);
+      Attempt a = attempt();
+      if (a.exchange.claim()) {
+        answers.add("served");
+      }
+      finished(true);
+      a.finish(Result.OK);
+    }
+  }
+}
