Look for a client's end once more before a send that was waited for

Cause: what the loop finds in one turn it reads in the order of its sockets. In the daemon the reading of a client that has sent ahead is off, so its end was not known at all.

Change: Exchange.maySend asks the client's socket where the send was waited for or is a further one. Where a look could lose a byte of the next request (the daemon on the JDK's sockets) it is left out; over epoll a reset is told as well.

--- a/src/main/java/corkproxy/engine/Attempt.java
+++ b/src/main/java/corkproxy/engine/Attempt.java
@@ -26,6 +26,7 @@
   private double wroteAt;
   private boolean ran;
   private Channel connecting;
+  private boolean queued;
   private UpstreamConnection connection;
   private boolean over;
 
@@ -111,6 +112,16 @@
     connecting = channel;
   }
 
+  /** Whether its connection had to come up first, or to become free. */
+  final boolean waited() {
+    return connecting != null || queued;
+  }
+
+  /** It stands in a queue for a connection. */
+  final void queued() {
+    queued = true;
+  }
+
   final void attached(UpstreamConnection to) {
     if (connecting != null) {
       sentAt += Hearing.behind() / 1e6; // it had come up before this was heard of
--- a/src/main/java/corkproxy/engine/Call.java
+++ b/src/main/java/corkproxy/engine/Call.java
@@ -23,6 +23,14 @@
     return false;
   }
 
+  /**
+   * Whether its client has left, though that has not been read yet: asks the socket itself. Asked ahead of a send that was
+   * waited for, and costs as much as a read; where the socket can't tell without harm it is false.
+   */
+  default boolean abandoned() {
+    return false;
+  }
+
   /**
    * Whether an answer that has begun to go to the client is in time, however long the rest of it takes;
    * otherwise all of it has to come within the request's time.
--- a/src/main/java/corkproxy/engine/Exchange.java
+++ b/src/main/java/corkproxy/engine/Exchange.java
@@ -247,6 +247,11 @@
         return false;
       }
     }
+    // Guards a client that left in the turn in which the connection came up, and was read after it.
+    if ((attempts.size() > 1 || a.waited()) && call.abandoned()) {
+      clientGone();
+      return false;
+    }
     return true;
   }
 
--- a/src/main/java/corkproxy/engine/NativeTransport.java
+++ b/src/main/java/corkproxy/engine/NativeTransport.java
@@ -55,7 +55,9 @@
     }
   };
 
-  /** The state of a connection whose other side has ended (linux/tcp.h, tcp_info). */
+  /** The states of a connection whose other side has reset it, and has ended it (linux/tcp.h, tcp_info). */
+  private static final int CLOSED = 7;
+
   private static final int CLOSE_WAIT = 8;
 
   private static final ThreadLocal<ByteBuffer> ONE =
@@ -68,9 +70,16 @@
 
   @Override
   public End end(Channel client) {
-    return client instanceof EpollSocketChannel c && c.isOpen() && c.tcpInfo().state() == CLOSE_WAIT
-        ? End.ENDED
-        : End.NONE;
+    if (!(client instanceof EpollSocketChannel c) || !c.isOpen()) {
+      return End.NONE;
+    }
+    int state = c.tcpInfo().state();
+    return state == CLOSE_WAIT || state == CLOSED ? End.ENDED : End.NONE;
+  }
+
+  @Override
+  public boolean looksOnly() {
+    return true;
   }
 
   @Override
--- a/src/main/java/corkproxy/engine/Transport.java
+++ b/src/main/java/corkproxy/engine/Transport.java
@@ -17,12 +17,16 @@
 
   /**
    * Whether a client has ended its side of a connection, though that has not been read yet; asks the
-   * socket itself, on its loop. Only after a request has come whole, and at the most once for it: where the
-   * socket can't tell otherwise, a byte that came behind the request is lost, and the answer is {@link
-   * End#LOST_BYTE}.
+   * socket itself, on its loop. Only after a request has come whole: where the socket can't tell
+   * otherwise, a byte that came behind the request is lost, and the answer is {@link End#LOST_BYTE}.
    */
   End end(Channel client);
 
+  /** Whether {@link #end} never loses a byte, so that it may be asked at any time. */
+  default boolean looksOnly() {
+    return false;
+  }
+
   /** What a look at a client's socket tells. */
   enum End {
     /** Nothing has come, or it can't be told. */
--- a/src/main/java/corkproxy/engine/Upstreams.java
+++ b/src/main/java/corkproxy/engine/Upstreams.java
@@ -114,6 +114,7 @@
       return;
     }
     host.pending.addLast(call);
+    call.queued();
     pump(host);
   }
 
--- a/src/main/java/corkproxy/http/AnswerWriter.java
+++ b/src/main/java/corkproxy/http/AnswerWriter.java
@@ -86,6 +86,11 @@
     answer(reply, as, whole, trailers);
   }
 
+  /** Whether the client has left, and has not been read. */
+  boolean abandoned() {
+    return client.abandoned();
+  }
+
   private static ByteBuf joined(Body whole) {
     ByteBuf[] blocks = whole.retained().toArray(ByteBuf[]::new);
     return blocks.length == 1 ? blocks[0] : Unpooled.wrappedBuffer(blocks);
--- a/src/main/java/corkproxy/http/ClientConnection.java
+++ b/src/main/java/corkproxy/http/ClientConnection.java
@@ -233,6 +233,29 @@
     }
   }
 
+  /**
+   * Whether the client has gone already, of whom a whole request has come; then its connection ends here. Guards against a
+   * queue of requests that nobody waits for any more: after a pause, or in a crowd, those that were given up stand ahead of
+   * those that can still be answered, and what is done for them makes the others late. It costs a look at the socket.
+   */
+  boolean endsUnread() {
+    switch (front.transport().end(channel)) {
+      case ENDED -> {
+        tell("client-gone", null);
+        channel.close();
+        return true;
+      }
+      case LOST_BYTE -> sentAhead();
+      case NONE -> {}
+    }
+    return false;
+  }
+
+  /** The same, at any time: where requests may be sent ahead, only if the look can't lose a byte of the next. */
+  boolean abandoned() {
+    return (!front.settings().daemon() || front.transport().looksOnly()) && endsUnread();
+  }
+
   /** The engine is about to take the request. */
   void carries(HttpCall next) {
     call = next;
--- a/src/main/java/corkproxy/http/HttpCall.java
+++ b/src/main/java/corkproxy/http/HttpCall.java
@@ -110,6 +110,11 @@
     return upload != null && !upload.whole();
   }
 
+  @Override
+  public boolean abandoned() {
+    return (upload == null || upload.whole()) && client.abandoned();
+  }
+
   @Override
   public boolean timedToFirstByte() {
     return streaming == Streaming.LARGE;
--- a/src/main/java/corkproxy/http/RequestIntake.java
+++ b/src/main/java/corkproxy/http/RequestIntake.java
@@ -149,7 +149,7 @@
     if (part instanceof HttpRequest request) {
       begin(request, at);
     }
-    if (upload != null && part instanceof LastHttpContent && !front.settings().daemon() && abandoned()) {
+    if (upload != null && part instanceof LastHttpContent && client.abandoned()) {
       return; // the last byte is not sent on: its client left while a connection was waited for, and its end was not read
     }
     if (part instanceof HttpContent content && client.takes()) {
@@ -337,7 +337,7 @@
       answers.answer(verdict.status(), verdict.retryAfterMs());
       return;
     }
-    if ((first || !front.settings().daemon()) && abandoned()) {
+    if ((first || !front.settings().daemon()) && client.endsUnread()) {
       free(whole);
       return;
     }
@@ -362,24 +362,6 @@
     d.take(call, verdict.arrival().within(left), verdict.fallback());
   }
 
-  /**
-   * Whether the client has gone already. Guards against a queue of requests that nobody waits for any more:
-   * after a pause, or in a crowd, those that were given up stand ahead of those that can still be answered,
-   * and what is done for them makes the others late. It costs a look at the socket.
-   */
-  private boolean abandoned() {
-    switch (front.transport().end(channel)) {
-      case ENDED -> {
-        client.tell("client-gone", null);
-        channel.close();
-        return true;
-      }
-      case LOST_BYTE -> client.sentAhead();
-      case NONE -> {}
-    }
-    return false;
-  }
-
   // --- ends
 
   /** The present request has its answer; what of it comes still is read for nothing, or is none. */
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -81,6 +81,30 @@
     assertThat(host.heads).hasSize(1);
   }
 
+  /** The connection has come up first, and both stand unread: what is read first must not decide. */
+  @ParameterizedTest
+  @CsvSource({"true,false", "false,false", "true,true", "false,true"})
+  void aClientThatLeftBehindTheConnectIsSeenBeforeTheWrite(boolean cancel, boolean reset) throws Exception {
+    world.cancel = cancel;
+    World.LateHost host = world.new LateHost(h -> ok("late"));
+    world.start(host);
+    AutoCloseable held;
+    try (Socket leaver = world.client()) {
+      write(leaver, claim("leaver"));
+      World.await(() -> world.upstreams() == 1);
+      held = world.heldLoop();
+      host.comesUp();
+      World.await(() -> host.late() == 1);
+      if (reset) {
+        leaver.setSoLinger(true, 0);
+      }
+    }
+    held.close();
+    World.await(() -> world.open() == 0 && world.upstreams() == 0 && world.clients() == 0);
+    assertThat(world.ask(claim("next"))).endsWith("late");
+    assertThat(host.heads).hasSize(1).first().asString().contains("next");
+  }
+
   /** What the users count: of clients that leave while their requests wait, whose is sent on 0.3 s later. */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
