Let connections rest longer once a second answer has come late

Cause: a connection rests 5 ms after its answer; a second answer that is later comes on a connection in use again and is served to the next client, which loses its request. Nothing in it tells whose it is.

Change: where one is met on a connection that carries nothing, how late it was is kept for ten minutes, and all connections rest for twice as long, 50 ms at the most (by which the protocol makes each time limit longer). The first one of all that hits a connection in use can't be told still.

--- a/src/main/java/corkproxy/engine/UpstreamConnection.java
+++ b/src/main/java/corkproxy/engine/UpstreamConnection.java
@@ -70,6 +70,9 @@
   /** Bytes came that belong to no answer. */
   protected final void surplus() {
     host.surplus();
+    if (attempt == null && since != 0) {
+      pool.surplus(System.nanoTime() - Hearing.behind() - since);
+    }
     channel.close();
   }
 
--- a/src/main/java/corkproxy/engine/Upstreams.java
+++ b/src/main/java/corkproxy/engine/Upstreams.java
@@ -35,6 +35,9 @@
   /** How long (ns) a host that was seen to send surplus bytes is remembered. */
   private static final long SURPLUS_NANOS = 600_000_000_000L;
 
+  /** The longest rest (ns) after an answer: that by which each time limit is longer, as bytes on their way may be late. */
+  private static final long REST_MOST_NANOS = 50_000_000L;
+
   /** Requests that a connection carries before it goes to another worker that waits for a place. */
   private static final int TURN = 16;
 
@@ -48,6 +51,11 @@
   private PoolBounds bounds;
   private long refused;
 
+  /** The latest (ns) after an answer that surplus was seen, and when (ns); any host may send some. */
+  private long surplusAfter;
+
+  private long surplusAt;
+
   /** Connections of one pool on one loop. */
   public Upstreams(
       EventLoop loop,
@@ -261,7 +269,20 @@
   private long restNanos(Host host, long now) {
     long rest = (long) (bounds.restMs() * 1e6);
     boolean seen = host.surplusSeen && now - host.surplusAt < SURPLUS_NANOS;
-    return seen ? Math.max(rest, REST_NANOS) : rest;
+    boolean late = now - surplusAt < SURPLUS_NANOS;
+    return Math.max(rest, Math.max(seen ? REST_NANOS : 0, late ? surplusAfter : 0));
+  }
+
+  /**
+   * Bytes that belong to no answer came so long (ns) after one. Guards against a second answer that is later than the rest: on a
+   * connection in use again it would be taken for the next one's, and nothing in it says whose it is. Where it was late once,
+   * all connections rest for twice as long, in bounds.
+   */
+  void surplus(long after) {
+    long now = System.nanoTime();
+    long known = now - surplusAt < SURPLUS_NANOS ? surplusAfter : 0;
+    surplusAfter = Math.max(known, Math.min(2 * after, REST_MOST_NANOS));
+    surplusAt = now;
   }
 
   /** Opens a connection for the call; its place has been taken. */
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -369,6 +369,36 @@
     }
   }
 
+  /** Later than a connection rests at first; seen once on one that carried nothing, it is not taken for another's answer. */
+  @Test
+  void aSecondAnswerThatCameLateOnceIsNotTakenForTheNextOnes() throws Exception {
+    World.Host host =
+        world.new Host(h -> null) {
+          @Override
+          void serve(Socket s) throws IOException, InterruptedException {
+            String head;
+            while ((head = World.read(s.getInputStream())) != null) {
+              String id = head.split("X-Request-ID: ")[1].split("\r\n")[0];
+              Thread.sleep(id.equals("third") ? 100 : 0); // what is late comes before it
+              write(s, ok(id));
+              Thread.sleep(25);
+              write(s, ok(id));
+            }
+          }
+        };
+    world.start(host);
+    assertThat(world.ask(claim("first"))).endsWith("first");
+    World.await(() -> world.upstreams() == 0); // it came where nothing was carried
+    try (Socket s = world.client()) {
+      World.await(() -> world.clients() == 1);
+      write(s, claim("second"));
+      assertThat(World.read(s.getInputStream())).endsWith("second");
+      Thread.sleep(10); // longer than a connection rests at first, and not yet as late as what is late
+      write(s, claim("third"));
+      assertThat(World.read(s.getInputStream())).endsWith("third");
+    }
+  }
+
   /** Whichever is taken first, there is one answer, and the next request has its own. */
   @Test
   void anAnswerAndItsDeadlineInOneTurnMakeOneAnswer() throws Exception {
