Take no age of a connection for unread time where loops count no turns

Cause: found on reading the change again. RequestDecoder.firstLook compared turns that are 0 over io_uring, so each request there was taken for the first look at its connection, and the connection's age was taken off its time: refused, once a connection was older than its class's deadline.

Change: turns that are not counted are no first look.

--- a/src/main/java/corkproxy/http/RequestDecoder.java
+++ b/src/main/java/corkproxy/http/RequestDecoder.java
@@ -97,9 +97,9 @@
     }
   }
 
-  /** Whether what comes now was found at the first look at this connection. */
+  /** Whether what comes now was found at the first look at this connection; false where loops don't count their turns. */
   boolean firstLook() {
-    return firstTurn == Hearing.turns();
+    return firstTurn != 0 && firstTurn == Hearing.turns();
   }
 
   boolean receiving() {
--- a/src/test/java/corkproxy/daemon/ConnectionsTest.java
+++ b/src/test/java/corkproxy/daemon/ConnectionsTest.java
@@ -7,6 +7,7 @@
 import static corkproxy.daemon.Installation.route;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import corkproxy.engine.NativeTransport;
 import corkproxy.proxy.World;
 import corkproxy.standin.HttpStandIn;
 import corkproxy.standin.HttpStandIn.Fault;
@@ -19,6 +20,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Assumptions;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -162,6 +164,31 @@
     World.await(() -> quietly200("after"));
   }
 
+  /** What a client has sent ahead stops the reading of it, so that its end is not read: the socket is asked. */
+  @Test
+  void whatWaitsForAClientThatSentMoreAheadAndLeftIsNotSent() throws Exception {
+    Assumptions.assumeTrue(NativeTransport.EPOLL.missing() == null, "the JDK's sockets can't be asked without losing a byte");
+    HttpStandIn a = it.host("a");
+    a.misbehave(Fault.SILENT, 1);
+    it.start("[daemon]\nworkers = 1\ntransport = \"epoll\"", LISTENER, PATIENT, pool("a", "max_connections = 1", a), CLAIMS);
+    try (Socket s = it.client()) {
+      World.write(s, request("POST", "/claim", "out"));
+      World.await(() -> it.ledger.executions() == 1);
+      for (boolean reset : new boolean[] {false, true}) {
+        try (Socket leaver = it.client()) {
+          World.write(leaver, request("POST", "/claim", "waits" + reset) + request("POST", "/claim", "ahead" + reset));
+          Thread.sleep(100); // both have been read: a reset would take from the kernel what has not
+          leaver.setSoLinger(reset, 0);
+        }
+      }
+      a.misbehave(Fault.NONE, 0);
+    }
+    World.await(() -> quietly200("after"));
+    assertThat(it.ledger.of("waitsfalse")).isEmpty();
+    assertThat(it.ledger.of("waitstrue")).isEmpty();
+    assertThat(it.ledger.of("aheadfalse")).isEmpty();
+  }
+
   private boolean quietly200(String id) {
     try {
       return it.status(request("POST", "/claim", id + System.nanoTime())) == 200;
@@ -237,4 +264,20 @@
     crowd(8, 20, transport);
     assertThat(a.mostConnections()).isLessThanOrEqualTo(4);
   }
+
+  /** Its time counts from its last byte, not from when its connection was let in. */
+  @ParameterizedTest
+  @ValueSource(strings = {"nio", "epoll", "io-uring"})
+  void aRequestOnAConnectionThatIsOlderThanItsTimeHasAllOfIt(String transport) throws Exception {
+    HttpStandIn a = it.host("a");
+    it.start("[daemon]\nworkers = 1\ntransport = \"" + transport + "\"", LISTENER, "[class.claim]\naim_ms = 300\ndeadline_ms = 300\n",
+        pool("a", "", a), CLAIMS);
+    try (Socket s = it.client()) {
+      for (int i = 0; i < 3; i++) {
+        Thread.sleep(400);
+        World.write(s, request("POST", "/claim", "r" + i));
+        assertThat(World.read(s.getInputStream())).startsWith("HTTP/1.1 200");
+      }
+    }
+  }
 }
