Look for unread time behind the accept at the first poll alone, not at the first bytes

Cause: RequestDecoder.firstLook took the first bytes of a connection for what was found at the first look at it. A connection that rested before its first request (some clients connect ahead) had that rest taken off the request's time: 503 at once, where it was longer than the deadline.

Change: only what the first poll that knows of a connection finds can have come before it was accepted; a later poll tells by itself.

--- a/src/main/java/corkproxy/http/RequestDecoder.java
+++ b/src/main/java/corkproxy/http/RequestDecoder.java
@@ -22,7 +22,9 @@
   private int scanned;
   private boolean removed;
   private boolean held;
-  private long firstTurn;
+
+  /** The turn of the loop in which its connection was accepted; 0 where loops don't count theirs. */
+  private final long acceptedIn = Hearing.turns();
 
   RequestDecoder() {
     super(HttpProtocol.DECODER);
@@ -34,9 +36,6 @@
       receiving = true;
       since = System.nanoTime();
     }
-    if (firstTurn == 0) {
-      firstTurn = Hearing.turns();
-    }
     super.channelRead(ctx, msg);
   }
 
@@ -97,9 +96,9 @@
     }
   }
 
-  /** Whether what comes now was found at the first look at this connection; false where loops don't count their turns. */
+  /** Whether what comes now was found at the first look at this connection: no poll before has known of it. */
   boolean firstLook() {
-    return firstTurn != 0 && firstTurn == Hearing.turns();
+    return acceptedIn != 0 && Hearing.turns() <= acceptedIn + 1;
   }
 
   boolean receiving() {
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -683,6 +683,20 @@
     }
   }
 
+  /** Its connection is older than its time, and nothing came on it before. */
+  @Test
+  void aRequestOnAConnectionThatRestedFirstHasAllOfItsTime() throws Exception {
+    world.deadline = 400;
+    world.start(world.new Host(h -> ok("done")));
+    try (Socket s = world.client()) {
+      World.await(() -> world.clients() == 1);
+      long until = System.nanoTime() + 600_000_000L;
+      World.await(() -> System.nanoTime() > until);
+      write(s, claim("rested"));
+      assertThat(World.read(s.getInputStream())).endsWith("done");
+    }
+  }
+
   /** What comes slowly has its time from its last byte on: only what the loop left unread is taken off. */
   @Test
   void aRequestThatComesSlowlyHasItsTimeFromItsLastByteOn() throws Exception {
