Open the watch again though there was no descriptor for it once

Cause: where the system has no descriptor, netty gives back a channel that was never opened. Discovery took it for its watch: the failure was told off the loop, and each try to end it threw, in upkeep five times a second for ever, so no list was ever heard again.

Change: it is known at once, told once in the log, and tried again after the usual wait.

Result: aWatchThatNoDescriptor..., where lists are pushed and where they are asked for, green.

--- a/src/main/java/corkproxy/proxy/Discovery.java
+++ b/src/main/java/corkproxy/proxy/Discovery.java
@@ -104,6 +104,11 @@
   private boolean hurried = true;
 
   Discovery(EventLoopGroup loop, Config config, Dispatcher dispatcher, Log log) {
+    this(loop, config, dispatcher, log, NioSocketChannel.class);
+  }
+
+  /** {@code sockets} is what it connects with. */
+  Discovery(EventLoopGroup loop, Config config, Dispatcher dispatcher, Log log, Class<? extends Channel> sockets) {
     this.dispatcher = dispatcher;
     this.log = log;
     this.address = config.discovery();
@@ -114,7 +119,7 @@
     this.bootstrap =
         new Bootstrap()
             .group(loop)
-            .channel(NioSocketChannel.class)
+            .channel(sockets)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
@@ -165,6 +170,11 @@
       old.channel.close();
     }
     ChannelFuture f = bootstrap.connect(address);
+    if (!f.channel().isRegistered()) {
+      // Guards against a watch that never ends: what was never opened can't be closed, nor goes silent in its turn.
+      lost("out of sockets");
+      return;
+    }
     Watch w = new Watch(f.channel());
     watch = w;
     f.addListener(
@@ -232,6 +242,16 @@
     return new Hosts.News(list.path("version").asLong(), list.path("full").asBoolean(), members);
   }
 
+  /** No watch is open, for this reason: another one will be. */
+  private void lost(String why) {
+    watch = null;
+    if (!why.equals(fault)) {
+      log.line("watch: " + why);
+    }
+    fault = why;
+    retry();
+  }
+
   private void retry() {
     if (asked) {
       dispatcher.followFailed(); // the module decides when to ask again
@@ -289,12 +309,7 @@
     void broken(String why) {
       channel.close();
       if (watch == this) {
-        watch = null;
-        if (!why.equals(fault)) {
-          log.line("watch: " + why);
-        }
-        fault = why;
-        retry();
+        lost(why);
       }
     }
 
--- a/src/test/java/corkproxy/proxy/DiscoveryTest.java
+++ b/src/test/java/corkproxy/proxy/DiscoveryTest.java
@@ -5,6 +5,16 @@
 import static corkproxy.proxy.World.write;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import corkproxy.engine.BodyBudget;
+import corkproxy.engine.Dispatcher;
+import corkproxy.engine.NioTransport;
+import corkproxy.engine.Sockets;
+import corkproxy.engine.Upstreams;
+import corkproxy.http.HttpProtocol;
+import io.netty.channel.ChannelException;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -16,9 +26,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -361,6 +373,48 @@
     assertThat(askedAt.get() - silentFrom.get()).isBetween(2_900_000_000L, 4_400_000_000L);
   }
 
+  private static volatile int scarce;
+
+  /** A socket, once the system has one to give. */
+  public static final class Scarce extends NioSocketChannel {
+    public Scarce() {
+      if (scarce-- > 0) {
+        throw new ChannelException("Too many open files");
+      }
+    }
+  }
+
+  /** The system has no descriptor for a watch that is to be opened: later it has. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void aWatchThatNoDescriptorIsLeftForIsOpenedLater(boolean asked) throws Exception {
+    world.asked = asked;
+    World.Discovery there = world.new Discovery(41, world.new Host(h -> ok("done")));
+    Path file = world.configure(there.address(), list(40));
+    Config config = Config.load(Map.of("BALANCER_CONFIG", file.toString()));
+    Log quiet = World.quietLog();
+    NioTransport transport = new NioTransport();
+    MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, transport.loops());
+    EventLoop loop = (EventLoop) group.next();
+    try {
+      scarce = 2;
+      Upstreams upstreams = new Upstreams(loop, transport, HttpProtocol.PLATFORM, config.bounds(), new Sockets(128), quiet);
+      Discovery watch =
+          loop.submit(
+                  () -> {
+                    Dispatcher d = new Dispatcher(null, loop, config.settings(), 7, upstreams, new BodyBudget(1 << 20), quiet);
+                    Discovery w = new Discovery(group, config, d, quiet, Scarce.class);
+                    w.start(config.known());
+                    return w;
+                  })
+              .get();
+      World.await(() -> loop.submit(watch::told).syncUninterruptibly().getNow());
+      assertThat(scarce).isNegative();
+    } finally {
+      group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+    }
+  }
+
   /** What the agent gets while no watch is open counts as told at once. */
   @ParameterizedTest
   @ValueSource(ints = {250, 500})
