--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -309,6 +309,51 @@
         + ",\"state\":\"up\",\"weight\":1.0,\"started_ms\":0}";
   }
 
+  /** Its reading waits for memory, so its end stands unread behind the rest of its body. */
+  @Test
+  void aClientThatLeavesWhileItsBodyWaitsForMemoryIsNotSentOn() throws Exception {
+    world.close();
+    world = new World(folder, 512);
+    world.memory = 96; // 8 MB of bodies
+    world.deadline = 1_500;
+    int size = 65_536;
+    World.Host hangs = world.new Host(h -> null);
+    world.start(hangs);
+    List<Socket> holders = new ArrayList<>();
+    for (int i = 0; i < 70; i++) {
+      Socket s = world.client();
+      holders.add(s);
+      write(s, claim("holder" + i, "Content-Length: " + size) + "x".repeat(size));
+    }
+    World.await(() -> hangs.heads.size() == holders.size()); // 4.6 MB, until their time is over
+    List<Socket> leavers = new ArrayList<>();
+    for (int i = 0; i < 70; i++) {
+      Socket s = world.client();
+      leavers.add(s);
+      write(s, claim("leaver" + i, "Content-Length: " + size) + "x".repeat(size - 100));
+    }
+    World.await(() -> world.clients() == holders.size() + leavers.size());
+    for (Socket s : leavers) {
+      write(s, "x".repeat(100)); // those that had room have been taken, the others stand in the kernel
+    }
+    int taken = 0;
+    for (long since = System.nanoTime(); System.nanoTime() - since < 300_000_000L; Thread.sleep(1)) {
+      since = taken == hangs.heads.size() ? since : System.nanoTime();
+      taken = hangs.heads.size(); // until no more come
+    }
+    for (Socket s : leavers) {
+      s.close();
+    }
+    for (Socket s : holders) {
+      assertThat(World.read(s.getInputStream())).contains(" 504 ");
+      s.close();
+    }
+    World.await(() -> world.clients() == 0 && world.open() == 0);
+    System.out.println("waited for memory and left: " + (holders.size() + leavers.size() - taken));
+    assertThat(taken).isLessThan(holders.size() + leavers.size());
+    assertThat(hangs.heads).hasSize(taken);
+  }
+
   /** A copy was judged by the cell in which both hosts stood; another cell knows nothing of what the first one has run. */
   @Test
   void aCopyThatWaitsIsNotSentToAHostThatHasComeToAnotherCell() throws Exception {
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -41,6 +41,9 @@
   int listen;
   int seed = 7;
 
+  /** MB; what is past 88 of it is for bodies. */
+  int memory = 128;
+
   /** What the settings allow, and how long (ms) a connection to a host may take to come up. */
   boolean cancel = true;
 
@@ -269,7 +272,7 @@
     return Files.writeString(
         file,
         "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + listen + "\",\"discovery\":\"" + discovery
-            + "\",\"seed\":\"" + seed + "\",\"limits\":{\"memory_mb\":128,\"sockets\":" + sockets
+            + "\",\"seed\":\"" + seed + "\",\"limits\":{\"memory_mb\":" + memory + ",\"sockets\":" + sockets
             + "}," + peers + "\"known\":" + known + ",\"settings\":{\"classes\":["
             + "{\"name\":\"claim\",\"aim\":" + aim + ",\"deadline\":" + deadline + ",\"semantics\":\"at_most_once\"},"
             + "{\"name\":\"log\",\"aim\":" + aim + ",\"deadline\":" + deadline + ",\"semantics\":\"deduplicated\","
