Count no rest that the listener chose as unread time, and no queue taken once over

Cause: found on reading the change again. Listener.since was kept over the rests that the front makes where it has no room, so in a crowd it stood at the crowd's beginning, and true requests on new connections would have been refused as over. And a queue that is never seen empty kept it as well.

Change: a look after a rest begins anew; after as many as the queue holds have been accepted, since moves on to when those began. A test that waited for a second connection without waiting for the change that causes it failed once in four runs on a busy machine (started anew); it now waits for what is told behind that change, and asserts as before.

--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -25,8 +25,6 @@
 
 /** The side that faces the application: listens, and knows all of its connections. */
 public final class Front {
-  private static final int BACKLOG = 1_024;
-
   /** Connections taken in one go; more might pass the limit before it is looked at. */
   private static final int ACCEPTS = 4;
 
@@ -78,7 +76,7 @@
             .group(loop)
             .channel(Listener.class)
             .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_BACKLOG, Listener.BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(
                 ChannelOption.RECVBUF_ALLOCATOR,
@@ -164,7 +162,6 @@
       if (c == null) {
         if (listener.config().isAutoRead()) {
           listener.config().setAutoRead(false);
-          listener.held();
           listener.eventLoop().schedule(this::rested, REST_MS, TimeUnit.MILLISECONDS);
         }
         return;
--- a/src/main/java/corkproxy/http/Listener.java
+++ b/src/main/java/corkproxy/http/Listener.java
@@ -3,7 +3,6 @@
 import corkproxy.engine.Hearing;
 import corkproxy.engine.NioTransport;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import java.io.IOException;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,13 +12,19 @@
  * closed with as little as possible left in its backlog.
  */
 public final class Listener extends NioServerSocketChannel {
+  /** Clients that may stand in the kernel's queue at once. */
+  static final int BACKLOG = 1_024;
+
   private long turn;
   private boolean more;
-  private boolean held;
+  private int taken;
   private long since = System.nanoTime();
+  private long began;
 
   /**
-   * The earliest (ns) at which the kernel can have let in what is accepted now: when its queue was last known to be empty.
+   * The earliest (ns) at which the kernel can have let in what is accepted now, where the loop came late to it: when its queue
+   * was last known to be empty, or had been taken once over since. A rest that this side chose, for want of room, is not counted:
+   * how long the queue was then is not known, and a crowd would look ever older.
    *
    * <pre>
    *   poll: nobody   poll: clients   poll: clients   poll: clients
@@ -30,37 +35,34 @@
     return since;
   }
 
-  /** Nobody is accepted for a while: who comes meanwhile has waited from now on. */
-  void held() {
-    held = true;
-  }
-
   /** Begins a look at the queue, unless this turn has begun one. */
   private void look() {
     long now = Hearing.turns();
-    if (now != turn || now == 0) {
-      boolean goesOn = held || more && now == turn + 1;
-      since = goesOn ? since : System.nanoTime() - Hearing.behind();
-      turn = now;
-      more = true;
-      held = false;
+    if (now == turn && now != 0) {
+      return;
+    }
+    if (!more || now != turn + 1 || now == 0) {
+      since = System.nanoTime() - Hearing.behind();
+      began = System.nanoTime();
+      taken = 0;
+    } else if (taken > BACKLOG) {
+      since = began; // all that stood there then have been taken
+      began = System.nanoTime();
+      taken = 0;
     }
+    turn = now;
+    more = true;
   }
 
   @Override
   protected int doReadMessages(List<Object> accepted) throws Exception {
     look();
-    SocketChannel ch;
-    try {
-      ch = javaChannel().accept();
-    } catch (IOException e) {
-      held(); // out of descriptors: netty looks again after a second
-      throw e;
-    }
+    SocketChannel ch = javaChannel().accept();
     if (ch == null) {
       more = false;
       return 0;
     }
+    taken++;
     try {
       accepted.add(new NioTransport.Connection(this, ch));
       return 1;
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -290,6 +290,8 @@
             default -> news(false, 42, host.address(), change, 0);
           });
       if (change.equals("started anew")) {
+        discovery.news.add("{\"version\":43,\"full\":false,\"servers\":[" + entry("behind", other.address(), 1) + "]}");
+        World.await(() -> world.onLoop(() -> world.proxy.sends("behind"))); // and so the change before it has been taken
         host.comesUp(); // for a connection of its own: the one before was withdrawn
         assertThat(World.read(s.getInputStream())).endsWith("late");
         assertThat(host.heads).hasSize(1);
