Tell a host no more time than its client has, for a long body that has come whole

HttpCall.writeTo told the whole of a long body's time (it counts from the last byte, as the host counts) also where that byte had come already and the connection had been waited for since: 40000 told where at most 39800 were left.

Change: the whole time is told only while the body still comes. The test holds a connection back until all of the body is in the proxy (it fails on the text before: 40000, between 1 and 39800 wanted).

Also: a failed wait of FleetProcessesTest says what was answered last; its bounds are as they were.

--- a/src/main/java/corkproxy/http/HttpCall.java
+++ b/src/main/java/corkproxy/http/HttpCall.java
@@ -133,7 +133,7 @@
 
   ChannelFuture writeTo(Channel channel, long remainingMs) {
     HttpHeaders h = head.headers();
-    h.set(TIMEOUT, budget > 0 ? (long) budget : remainingMs); // a host counts from the last byte
+    h.set(TIMEOUT, budget > 0 && comes() ? (long) budget : remainingMs); // a host counts from the last byte
     if (upload != null) {
       return channel.writeAndFlush(
           new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), h));
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -197,6 +197,35 @@
     assertThat(whole(host, size)).isZero();
   }
 
+  /** All of it has come, so its client's time runs, and what its host is told must not be more than is left. */
+  @Test
+  void aLongBodyThatWaitsTellsItsHostNoMoreTimeThanItsClientHas() throws Exception {
+    world.generations = Generations.join(folder.toString());
+    World.LateHost host = world.new LateHost(h -> ok("late"));
+    world.start(host);
+    int most = 1 << 20; // past this it is not held
+    try (Generations beside = Generations.join(folder.toString());
+        Socket s = world.client()) {
+      write(s, claim("long", "Content-Length: " + (most + 2_000)) + "x".repeat(most - 1_000));
+      World.await(() -> beside.others().bodies() == most - 1_000);
+      write(s, "x".repeat(3_000)); // in one read, with the last byte
+      World.await(() -> world.open() == 1);
+      long whole = System.nanoTime();
+      World.await(() -> System.nanoTime() - whole > 200_000_000L);
+      long waited = (System.nanoTime() - whole) / 1_000_000;
+      host.comesUp();
+      assertThat(World.read(s.getInputStream())).endsWith("late");
+      assertThat(told(host.heads.get(0))).isBetween(1L, world.deadline - waited);
+    }
+  }
+
+  /** The time (ms) that a request tells its host. */
+  private static long told(String head) {
+    String name = "X-Timeout-Ms: ";
+    int at = head.indexOf(name) + name.length();
+    return Long.parseLong(head.substring(at, head.indexOf('\r', at)));
+  }
+
   /** Requests of which the host has got a body so long, to its last byte. */
   private static long whole(World.Host host, int size) {
     return host.heads.stream().filter(h -> h.length() - h.indexOf("\r\n\r\n") - 4 == size).count();
--- a/src/test/java/corkproxy/standin/FleetProcessesTest.java
+++ b/src/test/java/corkproxy/standin/FleetProcessesTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
@@ -70,7 +71,7 @@
   /** Asks until it is granted: after a change of leaders a proxy may be lost for a moment, and a refusal is right. */
   private static JsonNode granted(String kind, String name) throws InterruptedException {
     JsonNode[] o = new JsonNode[1];
-    await(() -> word(o[0] = drain(kind, name)).equals("granted"));
+    await(() -> word(o[0] = drain(kind, name)).equals("granted"), () -> "last answer " + o[0]);
     return o[0];
   }
 
@@ -83,9 +84,13 @@
   }
 
   private static void await(BooleanSupplier c) throws InterruptedException {
+    await(c, () -> "");
+  }
+
+  private static void await(BooleanSupplier c, Supplier<String> seen) throws InterruptedException {
     long until = System.nanoTime() + PATIENCE_MS * 1_000_000L;
     while (!c.getAsBoolean()) {
-      assertThat(System.nanoTime()).as("within " + PATIENCE_MS + " ms").isLessThan(until);
+      assertThat(System.nanoTime()).as(() -> "within " + PATIENCE_MS + " ms " + seen.get()).isLessThan(until);
       Thread.sleep(20);
     }
   }
@@ -345,7 +350,7 @@
   @Test
   void aPermitRunsOutWhileItsHolderIsCutOffAndNobodyElseGoesOutMeanwhile() throws Exception {
     JsonNode granted = rig.operator().change(drainOf("proxy", "p1").put("for_ms", 2_000), id(), 0, PATIENCE_MS);
-    assertThat(word(granted)).isEqualTo("granted");
+    assertThat(word(granted)).as("%s", granted).isEqualTo("granted");
     await(() -> rig.saysNo("p1"));
     for (String k : List.of("k1", "k2", "k3")) {
       rig.link("p1", k).cut(true, true);
