Take only what comes on a connection at rest for a late second answer

Cause: UpstreamConnection.surplus took `since` of a connection in use, which is when it last rested, for how late the bytes were. Ruled out by reading: the look at the client's socket and the time unread add no connections.

Change: it counts only while the connection carries nothing and expects nothing; what comes on one that is closed already is nobody's. The test (three faults) fails on the text before: 4, 4 and 8 connections for 2.

--- a/src/main/java/corkproxy/engine/UpstreamConnection.java
+++ b/src/main/java/corkproxy/engine/UpstreamConnection.java
@@ -23,6 +23,10 @@
   private boolean written;
   private int carried;
   private long since;
+
+  /** It carries nothing, and nothing of an answer is expected. */
+  private boolean unused;
+
   private long idleFor;
   private long writtenAt;
 
@@ -67,10 +71,16 @@
     return carried;
   }
 
-  /** Bytes came that belong to no answer. */
+  /**
+   * Bytes came that belong to no answer. Only what comes while nothing is carried tells how late such bytes are: what stands
+   * behind a fault, in the same read, or is made up when the connection ends in an answer, tells nothing.
+   */
   protected final void surplus() {
+    if (!channel.isOpen()) {
+      return;
+    }
     host.surplus();
-    if (attempt == null && since != 0) {
+    if (unused) {
       pool.surplus(System.nanoTime() - Hearing.behind() - since);
     }
     channel.close();
@@ -81,6 +91,7 @@
     writtenAt = System.nanoTime();
     idleFor = since == 0 ? 0 : writtenAt - since;
     attempt = next;
+    unused = false;
     carried++;
     written = false;
     begin();
@@ -111,6 +122,7 @@
     channel.config().setAutoRead(true);
     if (keep && channel.isActive() && reusable() && carried < pool.maxRequests()) {
       since = System.nanoTime();
+      unused = true;
       pool.idle(host, this);
     } else {
       channel.close();
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -475,6 +475,49 @@
     }
   }
 
+  /** What stands behind a fault, or is made up when a connection ends in an answer, came with no rest and tells of none. */
+  @ParameterizedTest
+  @CsvSource({"reset", "unframed", "interim"})
+  void aFaultOnAConnectionInUseMakesNoneRestLonger(String fault) throws Exception {
+    World.Host host =
+        world.new Host(h -> null) {
+          @Override
+          void serve(Socket s) throws IOException, InterruptedException {
+            String head;
+            while ((head = World.read(s.getInputStream())) != null) {
+              String id = head.split("X-Request-ID: ")[1].split("\r\n")[0];
+              switch (id) {
+                case "reset" -> {
+                  write(s, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of it");
+                  World.await(() -> world.onLoop(() -> true)); // a turn of the loop has passed
+                  s.setSoLinger(true, 0);
+                  s.close();
+                  return;
+                }
+                case "unframed" -> write(s, "HTTP/1.1 200 OK\r\n\r\nits end can't be told");
+                case "interim" -> write(s, "HTTP/1.1 101 Switching Protocols\r\n\r\n");
+                default -> write(s, ok(id));
+              }
+            }
+          }
+        };
+    world.start(host);
+    try (Socket s = world.client()) {
+      for (String id : List.of("first", fault)) {
+        write(s, claim(id));
+        assertThat(World.read(s.getInputStream())).startsWith(id.equals(fault) ? "HTTP/1.1 502" : "HTTP/1.1 200");
+        Thread.sleep(20); // the next one is on the same connection, which has stood idle for as long
+      }
+      assertThat(host.connections()).isEqualTo(1);
+      for (int i = 0; i < 10; i++) {
+        write(s, claim("after" + i));
+        assertThat(World.read(s.getInputStream())).endsWith("after" + i);
+        Thread.sleep(20); // longer than a connection rests, and shorter than it would after a late answer
+      }
+    }
+    assertThat(host.connections()).isEqualTo(2);
+  }
+
   /** Whichever is taken first, there is one answer, and the next request has its own. */
   @Test
   void anAnswerAndItsDeadlineInOneTurnMakeOneAnswer() throws Exception {
