Let only the keeper that leads confirm renewals and reads

So a member whose connection stood at a follower, as after each change of leaders, was told that its lease went on, by a keeper whose count of it nobody looks at; the leader took it for lost 2 s later, and its successor would have been let serve beside it. The tests' remark that a proxy may be lost for a moment after a change of leaders describes just that.

Change: confirmed only where this keeper leads before it asks and in the same term after. The test (each keeper asked for status and renewal) fails on the text before: a follower answered. Another one asks followers that have not noticed that their leader is cut off; it passed on the text before as well. giveBack makes links whole before all else: a failure no longer leaves the next test without keepers.

--- a/src/main/java/corkproxy/quorum/Keeper.java
+++ b/src/main/java/corkproxy/quorum/Keeper.java
@@ -224,10 +224,19 @@
       now = waiting;
       waiting = new ArrayList<>();
     }
-    ask(RaftClientRequest.readRequestType(false), Message.EMPTY)
-        .whenComplete(
+    // Guards against a follower that confirms: the library lets it read, by a word of the leader's, but what is renewed
+    // here would be counted by nobody, and the leader would take for dead whoever was told that its lease goes on.
+    long led = leadsIn();
+    CompletableFuture<RaftClientReply> word =
+        led < 0
+            ? CompletableFuture.failedFuture(new IllegalStateException("does not lead"))
+            : ask(RaftClientRequest.readRequestType(false), Message.EMPTY);
+    word.whenComplete(
             (reply, failure) -> {
-              String no = failure != null ? failure.toString() : reply.isSuccess() ? null : String.valueOf(reply.getException());
+              String no =
+                  failure != null
+                      ? failure.toString()
+                      : !reply.isSuccess() ? String.valueOf(reply.getException()) : leadsIn() != led ? "led no longer" : null;
               now.forEach(c -> c.accept(no));
               boolean more;
               synchronized (this) {
@@ -296,10 +305,17 @@
   }
 
   boolean leads() {
+    return leadsIn() >= 0;
+  }
+
+  /** The term in which this keeper leads, or -1. */
+  private long leadsIn() {
     try {
-      return info().isLeaderReady();
+      DivisionInfo i = info();
+      long term = i.getCurrentTerm();
+      return i.isLeaderReady() && i.getCurrentTerm() == term ? term : -1;
     } catch (IOException | RuntimeException e) {
-      return false;
+      return -1;
     }
   }
 
--- a/src/main/java/corkproxy/standin/FaultRun.java
+++ b/src/main/java/corkproxy/standin/FaultRun.java
@@ -257,6 +257,11 @@
     return new Operator(fleet, List.of(apis.get(keeper)));
   }
 
+  /** Where that keeper is asked. */
+  InetSocketAddress keeperApi(String keeper) {
+    return apis.get(keeper);
+  }
+
   /** What a probe of that proxy saw last: its health path's 200, 503, or nothing. */
   public boolean serves(String proxy) {
     return judge.seen(proxy) == Judge.Seen.SERVES;
--- a/src/main/java/corkproxy/standin/Operator.java
+++ b/src/main/java/corkproxy/standin/Operator.java
@@ -56,7 +56,8 @@
     return null;
   }
 
-  private static JsonNode once(InetSocketAddress to, ObjectNode request) {
+  /** Asks one keeper once; null where no answer came in a second. */
+  static JsonNode once(InetSocketAddress to, ObjectNode request) {
     try (Socket s = new Socket()) {
       s.connect(to, TRY_MS);
       s.setSoTimeout(TRY_MS);
--- a/src/test/java/corkproxy/standin/FleetProcessesTest.java
+++ b/src/test/java/corkproxy/standin/FleetProcessesTest.java
@@ -44,8 +44,10 @@
     rig.close();
   }
 
+  /** Links first: a test that failed while one was cut must not leave the next one without keepers. */
   @AfterEach
   void giveBack() throws Exception {
+    rig.mend();
     for (JsonNode p : status().path("permits")) {
       undo(p.path("id").asText());
     }
@@ -179,6 +181,46 @@
     assertThat(status().path("permits")).hasSize(1);
   }
 
+  /** Asked before they notice that their leader is cut off: what they ask it for then must not hold up the one that leads next. */
+  @Test
+  void whoWasAskedAsAFollowerOfACutOffLeaderAnswersOnceItLeads() throws Exception {
+    String cut = rig.leader();
+    List<String> others = List.of("k1", "k2", "k3").stream().filter(k -> !k.equals(cut)).toList();
+    rig.isolate(cut);
+    List<CompletableFuture<JsonNode>> asked = new ArrayList<>();
+    for (int i = 0; i < 30; i++) {
+      for (String k : others) {
+        asked.add(CompletableFuture.supplyAsync(() -> rig.operatorAt(k).ask(MAPPER.createObjectNode().put("op", "status"), 0, 100), CROWD));
+      }
+      Thread.sleep(20);
+    }
+    asked.forEach(CompletableFuture::join);
+    String[] leads = new String[1];
+    await(() -> {
+      for (String k : others) {
+        JsonNode h = health(k);
+        leads[0] = h != null && h.path("role").asText().equals("leader") ? k : leads[0];
+      }
+      return leads[0] != null;
+    });
+    assertThat(rig.operatorAt(leads[0]).ask(MAPPER.createObjectNode().put("op", "status"), 0, PATIENCE_MS)).as("%s leads, %s is cut off", leads[0], cut).isNotNull();
+    granted("proxy", "p4");
+  }
+
+  /** A lease that a follower confirmed would be one that nobody counts. */
+  @Test
+  void onlyTheKeeperThatLeadsConfirmsAnything() throws Exception {
+    String leader = rig.leader();
+    ObjectNode renew = MAPPER.createObjectNode().put("op", "renew").put("name", "p1").put("session", 1);
+    for (String k : List.of("k1", "k2", "k3")) {
+      for (ObjectNode q : List.of(MAPPER.createObjectNode().put("op", "status"), renew)) {
+        JsonNode o = Operator.once(rig.keeperApi(k), q.put("id", 1).put("fleet", rig.fleet()));
+        assertThat(o).as("%s, %s leads", k, leader).isNotNull();
+        assertThat(o.path("redirect").asText()).isEqualTo(k.equals(leader) ? "" : leader);
+      }
+    }
+  }
+
   @Test
   void aProxyStoppedForThreeLeasesDoesNotGoOutByAGrantThatHasEnded() throws Exception {
     rig.proxy("p1").stop();
