Listen for a moment longer once the last connections have been closed at the end

Need: after SIGTERM, once no new clients are due, idle connections are closed and what crosses that close comes again, on a new connection (protocol; Front.clear says so). Found by reading Proxy.pollDrain: where these were the last ones, the listener was closed in the same turn, so the second try was refused.

Change: the listener stays for 50 ms, by which the protocol makes every limit longer, after such a close, never past the time at which all is given up. The test (a client that rests until it is ended and then asks once more) fails on the text before: refused. It plays again where this process itself stood still for over 20 ms in between.

--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -257,14 +257,17 @@
 
   /**
    * Nobody new is expected, and nobody may stay: closes what carries nothing and had time to speak. A request that crosses
-   * that close comes again, on a new connection.
+   * that close comes again, on a new connection. True if any was closed.
    */
-  public void clear() {
+  public boolean clear() {
+    boolean any = false;
     for (ClientConnection c : new ArrayList<>(connections)) {
       if (c.clearable(heard())) {
         c.close();
+        any = true;
       }
     }
+    return any;
   }
 
   /** No more time: each request that is open is answered as failed, and what has not come whole is turned away. */
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -41,6 +41,9 @@
   /** After SIGTERM new connections come for 0.4 s at most; they are accepted for longer (ms). */
   private static final long ACCEPT_MS = 800;
 
+  /** What crossed the close of its connection may take so long (ms) to come again: that by which each time limit is longer. */
+  private static final long CROSSED_MS = 50;
+
   /** SIGKILL comes no sooner than the longest deadline, of which no more than this (ms) counts, and 0.7 s. */
   private static final double LONGEST_MS = 3_000;
 
@@ -381,8 +384,9 @@
       front.giveUp(); // of a class with a longer time than SIGKILL leaves, or one that a reload has dropped
     }
     if (!takenOver && now >= acceptUntil) {
-      front.clear();
-      if (listening() && (front.empty() || now >= giveUpAt)) {
+      // Guards a request that crossed such a close: its client sends it once more, on a new connection.
+      acceptUntil = front.clear() ? Math.min(giveUpAt, now + CROSSED_MS * 1_000_000) : acceptUntil;
+      if (listening() && (front.empty() && now >= acceptUntil || now >= giveUpAt)) {
         front.leaveListening(); // whom it lets in is waited for, too
       }
     }
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -650,6 +650,63 @@
     }
   }
 
+  /** It may have written a request that nobody has read: the protocol has it sent once more, on a new connection. */
+  @Test
+  void aClientWhoseConnectionIsEndedLastMayComeOnceMore() throws Exception {
+    String answer = null;
+    long stood;
+    do {
+      world.close();
+      world = new World(folder, 128);
+      world.start(world.new Host(h -> ok("done")));
+      CompletableFuture<Void> ended = world.drain();
+      try (Socket rests = world.client();
+          Stalls stalls = new Stalls()) {
+        assertThat(World.ends(rests)).isTrue();
+        try {
+          answer = world.ask(claim("once more"));
+        } catch (java.net.ConnectException e) {
+          answer = "refused";
+        }
+        stood = stalls.longestMs();
+      }
+      ended.get(World.PATIENCE_MS, TimeUnit.MILLISECONDS);
+      assertThat(world.clients()).isZero();
+    } while (answer.equals("refused") && stood > 20); // this process stood still, and the client was late by as much
+    assertThat(answer).endsWith("done");
+  }
+
+  /** How long this process has stood still. */
+  private static final class Stalls implements AutoCloseable {
+    private final Thread ticks = new Thread(this::run, "stalls");
+    private volatile long longest;
+    private volatile boolean over;
+
+    Stalls() {
+      ticks.setDaemon(true);
+      ticks.start();
+    }
+
+    private void run() {
+      long last = System.nanoTime();
+      while (!over) {
+        java.util.concurrent.locks.LockSupport.parkNanos(1_000_000);
+        long now = System.nanoTime();
+        longest = Math.max(longest, now - last);
+        last = now;
+      }
+    }
+
+    long longestMs() {
+      return longest / 1_000_000;
+    }
+
+    @Override
+    public void close() {
+      over = true;
+    }
+  }
+
   /** More of them than are accepted in one turn; a new process comes late to what waits in the kernel, or one without a core. */
   @Test
   void whatStandsInTheBacklogWhenTheEndIsDueIsServed() throws Exception {
