--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -498,6 +498,7 @@
   @ParameterizedTest
   @CsvSource({"reset", "unframed", "interim"})
   void aFaultOnAConnectionInUseMakesNoneRestLonger(String fault) throws Exception {
+    world.aim = World.PATIENCE_MS; // two aims of idle time
     World.Host host =
         world.new Host(h -> null) {
           @Override
