--- a/src/main/java/corkproxy/cli/FaultsCommand.java
+++ b/src/main/java/corkproxy/cli/FaultsCommand.java
@@ -38,7 +38,7 @@
   @Option(names = "--rate", defaultValue = "40", description = "Requests a second at each daemon.")
   private double rate;
 
-  @Option(names = "--sabotage", defaultValue = "none", description = "Breaks a promise behind the ledger's back: ${COMPLETION-CANDIDATES}.")
+  @Option(names = "--sabotage", defaultValue = "none", description = "Breaks a promise behind the ledger's back: none, proxy-out, drained-host, twice or restart.")
   private String sabotage;
 
   @Option(names = "--folder", description = "Where files and logs go and stay; a temporary folder otherwise.")
