Measure a leader's death to the next grant, and what membership costs a daemon

Need: open measurements of the fleet's drains. bench/keepers plays the same daemon file with [fleet] and without, in turn, and times grants after 15 deaths of the leader beside grants without.

--- a/src/test/java/corkproxy/bench/KeeperBench.java
+++ b/src/test/java/corkproxy/bench/KeeperBench.java
@@ -4,19 +4,24 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import corkproxy.quorum.Json;
 import corkproxy.quorum.KeeperClient;
+import corkproxy.standin.Child;
 import corkproxy.standin.FaultRun;
+import corkproxy.standin.LoadGenerator;
 import corkproxy.standin.Operator;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.ToDoubleFunction;
 
 /**
  * What keepers cost and how soon they are whole again, on one machine: {@code bench/keepers}. Prints a line a figure; each is a
@@ -26,13 +31,19 @@
   private KeeperBench() {}
 
   public static void main(String[] args) throws Exception {
-    int members = args.length > 0 ? Integer.parseInt(args[0]) : 2_000;
+    boolean deathsAlone = args.length > 0 && args[0].equals("deaths");
+    int members = args.length > 0 && !deathsAlone ? Integer.parseInt(args[0]) : 2_000;
     Path folder = Files.createTempDirectory("keepers");
     try (FaultRun rig = new FaultRun(new FaultRun.Plan(3, 2, 12, 60, 1, FaultRun.Sabotage.NONE, 1), folder)) {
       rig.start();
+      if (deathsAlone) {
+        deaths(rig, 15);
+        return;
+      }
       String leader = rig.leader();
       System.out.printf("a keeper's resident memory, idle: %d MB%n", residentMb(rig.keeper(leader).pid()));
       rest(rig, 10);
+      membership(rig, folder);
       grants(rig, 300, 1);
       grants(rig, 1_200, 16);
       herd(rig, members);
@@ -50,6 +61,68 @@
     return -1;
   }
 
+  /** What membership costs a daemon: the same file with [fleet] and without, in turn, at the same open-loop rate. */
+  private static void membership(FaultRun rig, Path folder) throws Exception {
+    int port;
+    try (ServerSocket s = new ServerSocket(0)) {
+      port = s.getLocalPort();
+    }
+    String member = Files.readString(folder.resolve("p1.toml"));
+    String alone =
+        member.replaceFirst("(?s)\\[fleet\\].*?\\[listener", "[listener")
+            .replaceFirst("(?s)\\[listener.main]\naddress = \"[^\"]*\"", "[listener.main]\naddress = \"127.0.0.1:" + port + "\"");
+    Path file = Files.writeString(folder.resolve("alone.toml"), alone);
+    List<String> command = Child.program(64, "daemon", "--config", file.toString());
+    try (Child child = new Child("alone", command, command, folder.resolve("alone.log"))) {
+      child.start();
+      Round[] with = new Round[ROUNDS];
+      Round[] without = new Round[ROUNDS];
+      InetSocketAddress there = new InetSocketAddress("127.0.0.1", port);
+      Thread.sleep(3_000);
+      Round.of(rig.front("p1"), rig.proxy("p1").pid(), "warm-a");
+      Round.of(there, child.pid(), "warm-b");
+      for (int i = 0; i < ROUNDS; i++) {
+        with[i] = Round.of(rig.front("p1"), rig.proxy("p1").pid(), "with" + i);
+        without[i] = Round.of(there, child.pid(), "without" + i);
+      }
+      for (Round[] r : List.of(with, without)) {
+        System.out.printf(
+            "a daemon %s [fleet], %d rounds of %d/s: served %.5f, p99 %.2f ms, %.1f ms of processor time for 1,000 requests (medians), resident %d MB%n",
+            r == with ? "with" : "without", ROUNDS, RATE, median(r, Round::served), median(r, Round::p99Ms), median(r, Round::cpuMs),
+            residentMb(r == with ? rig.proxy("p1").pid() : child.pid()));
+      }
+    }
+  }
+
+  private static final int ROUNDS = 7;
+  private static final int RATE = 600;
+  private static final int ROUND_SECONDS = 4;
+
+  private static double median(Round[] rounds, ToDoubleFunction<Round> what) {
+    return Arrays.stream(rounds).mapToDouble(what).sorted().skip(ROUNDS / 2).findFirst().orElseThrow();
+  }
+
+  /** One load on one daemon: the part served, its p99, and the daemon's processor time for 1,000 requests. */
+  private record Round(double served, double p99Ms, double cpuMs) {
+    static Round of(InetSocketAddress to, long pid, String prefix) throws Exception {
+      LoadGenerator.Kind kind = new LoadGenerator.Kind("all", 1, "GET", "/list", "", 0, 3_000);
+      long before = cpuMs(pid);
+      try (LoadGenerator l = new LoadGenerator(new LoadGenerator.Plan(to, RATE, 0, ROUND_SECONDS, 64, 1, List.of(kind), prefix), null)) {
+        l.start().await();
+        double sent = Math.max(1, l.sent());
+        return new Round(
+            l.count(LoadGenerator.Outcome.SERVED) / sent, l.served(0).getValueAtPercentile(99) / 1e6, (cpuMs(pid) - before) * 1_000.0 / sent);
+      }
+    }
+
+    /** User and system time of a process so far, by proc(5): fields 14 and 15, in hundredths of a second. */
+    private static long cpuMs(long pid) throws IOException {
+      String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
+      String[] f = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+      return (Long.parseLong(f[11]) + Long.parseLong(f[12])) * 10;
+    }
+  }
+
   private static long applied(FaultRun rig) throws Exception {
     return rig.operatorAt(rig.leader()).ask(Json.object().put("op", "health"), 0, 2_000).path("applied").asLong();
   }
@@ -139,22 +212,36 @@
         renewed.get() / ((30e9 - allIn.get()) / 1e9), lost.get());
   }
 
-  /** From the kill of the leader to the next decision. */
+  /** From the kill of the leader to the next grant, beside the time of a grant where nobody dies. */
   private static void deaths(FaultRun rig, int times) throws Exception {
-    List<Long> ms = new ArrayList<>();
+    List<Long> usual = new ArrayList<>();
+    List<Long> dead = new ArrayList<>();
     for (int i = 0; i < times; i++) {
+      usual.add(granted(rig, "usual-" + i, i));
       String leader = rig.leader();
       rig.keeper(leader).kill();
-      long at = System.nanoTime();
-      JsonNode o = rig.operator().change(Operator.entry("resume"), "death-" + i, i, 30_000);
-      if (o == null) {
-        throw new IllegalStateException("no decision within 30 s");
-      }
-      ms.add((System.nanoTime() - at) / 1_000_000);
+      dead.add(granted(rig, "death-" + i, i));
       rig.keeper(leader).start();
       Thread.sleep(3_000);
     }
-    Collections.sort(ms);
-    System.out.printf("from a leader's death to the next decision, %d deaths: median %d ms, most %d ms%n", times, ms.get(times / 2), ms.get(times - 1));
+    Collections.sort(usual);
+    Collections.sort(dead);
+    System.out.printf(
+        "from a leader's death to the next grant, %d deaths: median %d ms, most %d ms; a grant without one: median %d ms, most %d ms%n", times,
+        dead.get(times / 2), dead.get(times - 1), usual.get(times / 2), usual.get(times - 1));
+  }
+
+  /** How long (ms) until a drain is granted, asked for again while it is refused; it is given back. */
+  private static long granted(FaultRun rig, String id, int first) {
+    long start = System.nanoTime();
+    for (int n = 0; System.nanoTime() - start < 30_000_000_000L; n++) {
+      JsonNode o = rig.operator().change(Operator.entry("drain").put("kind", "host").put("name", "h" + (1 + first % 12)), id + "-" + n, first, 30_000);
+      if (o != null && o.path("status").asText().equals("granted")) {
+        long ms = (System.nanoTime() - start) / 1_000_000;
+        rig.operator().change(Operator.entry("undo").put("permit", o.path("permit").asText()), id + "-undo", first, 30_000);
+        return ms;
+      }
+    }
+    throw new IllegalStateException("no grant within 30 s");
   }
 }
