Look through 32 KiB at most for the end of a client that sent ahead

Suspected: the look behind what a client sent ahead, the only new loop on a request's way, which may read 8 MiB in one go from who sends without end. It reads two chunks now. The forced cases (30 KB ahead) hold.

--- a/src/main/java/corkproxy/engine/NioTransport.java
+++ b/src/main/java/corkproxy/engine/NioTransport.java
@@ -16,8 +16,8 @@
   public static final class Connection extends NioSocketChannel {
     private static final int BEHIND_CHUNK = 16 * 1024;
 
-    /** What a kernel holds of one connection unread at most, where nobody has set it higher. */
-    private static final int BEHIND_BYTES = 8 << 20;
+    /** What is looked through at most for the end of who sends without end: a look must not cost the loop its time. */
+    private static final int BEHIND_BYTES = 2 * BEHIND_CHUNK;
 
     private final ByteBuffer one = ByteBuffer.allocate(1);
 
