Serve test peers, free ports and lists from one place, and flatten a keeper's confirmation

Read once more: three tests and a bench looked for a free port each for itself, two rigs had the same thread that ends quietly, three places cut a request's id out of a head and one its time, and EndingsTest wrote a list's JSON by hand in five places, once by cutting up another list. Now World.freePort, World.spawn, World.header, and list and entry of EndingsTest. Keeper.confirm had three conditions nested in one expression; they are a method, which says what it tells. Behaviour and assertions are as they were.

--- a/src/main/java/corkproxy/quorum/Keeper.java
+++ b/src/main/java/corkproxy/quorum/Keeper.java
@@ -232,21 +232,29 @@
             ? CompletableFuture.failedFuture(new IllegalStateException("does not lead"))
             : ask(RaftClientRequest.readRequestType(false), Message.EMPTY);
     word.whenComplete(
-            (reply, failure) -> {
-              String no =
-                  failure != null
-                      ? failure.toString()
-                      : !reply.isSuccess() ? String.valueOf(reply.getException()) : leadsIn() != led ? "led no longer" : null;
-              now.forEach(c -> c.accept(no));
-              boolean more;
-              synchronized (this) {
-                more = !waiting.isEmpty();
-                asking = more;
-              }
-              if (more) {
-                clock.execute(this::confirm);
-              }
-            });
+        (reply, failure) -> {
+          String no = unconfirmed(led, reply, failure);
+          now.forEach(c -> c.accept(no));
+          boolean more;
+          synchronized (this) {
+            more = !waiting.isEmpty();
+            asking = more;
+          }
+          if (more) {
+            clock.execute(this::confirm);
+          }
+        });
+  }
+
+  /** Why that reply does not confirm that this keeper led throughout, in that term; null where it does. */
+  private String unconfirmed(long led, RaftClientReply reply, Throwable failure) {
+    if (failure != null) {
+      return failure.toString();
+    }
+    if (!reply.isSuccess()) {
+      return String.valueOf(reply.getException());
+    }
+    return leadsIn() == led ? null : "led no longer";
   }
 
   /** Renews a session; to be called once {@link #confirmed}. False where it is over. */
--- a/src/test/java/corkproxy/bench/KeeperBench.java
+++ b/src/test/java/corkproxy/bench/KeeperBench.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import corkproxy.proxy.World;
 import corkproxy.quorum.Json;
 import corkproxy.quorum.KeeperClient;
 import corkproxy.standin.Child;
@@ -10,7 +11,6 @@
 import corkproxy.standin.Operator;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -28,6 +28,12 @@
  * count or a time of this run, with its baseline beside it where it has one.
  */
 public final class KeeperBench {
+  /** Of each kind of daemon: loads, requests a second, and seconds. */
+  private static final int ROUNDS = 7;
+
+  private static final int RATE = 600;
+  private static final int ROUND_SECONDS = 4;
+
   private KeeperBench() {}
 
   public static void main(String[] args) throws Exception {
@@ -63,10 +69,7 @@
 
   /** What membership costs a daemon: the same file with [fleet] and without, in turn, at the same open-loop rate. */
   private static void membership(FaultRun rig, Path folder) throws Exception {
-    int port;
-    try (ServerSocket s = new ServerSocket(0)) {
-      port = s.getLocalPort();
-    }
+    int port = World.freePort();
     String member = Files.readString(folder.resolve("p1.toml"));
     String alone =
         member.replaceFirst("(?s)\\[fleet\\].*?\\[listener", "[listener")
@@ -94,10 +97,6 @@
     }
   }
 
-  private static final int ROUNDS = 7;
-  private static final int RATE = 600;
-  private static final int ROUND_SECONDS = 4;
-
   private static double median(Round[] rounds, ToDoubleFunction<Round> what) {
     return Arrays.stream(rounds).mapToDouble(what).sorted().skip(ROUNDS / 2).findFirst().orElseThrow();
   }
--- a/src/test/java/corkproxy/engine/Pool.java
+++ b/src/test/java/corkproxy/engine/Pool.java
@@ -5,6 +5,7 @@
 import corkproxy.balancer.LoadReport;
 import corkproxy.balancer.Result;
 import corkproxy.balancer.Settings;
+import corkproxy.proxy.World;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -61,7 +62,7 @@
     for (int i = 0; i < size; i++) {
       ServerSocket host = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
       hosts.add(host);
-      spawn(() -> accept(host));
+      World.spawn(() -> accept(host));
       InetSocketAddress address = (InetSocketAddress) host.getLocalSocketAddress();
       members.add(new Hosts.Member("h" + i, address, "z", "k", 1, HostEntry.Condition.READY, 1, 0));
     }
@@ -80,29 +81,11 @@
             });
   }
 
-  private interface Task {
-    void run() throws IOException;
-  }
-
-  private static void spawn(Task what) {
-    Thread t =
-        new Thread(
-            () -> {
-              try {
-                what.run();
-              } catch (IOException e) {
-                // the other side, or the test, has ended it
-              }
-            });
-    t.setDaemon(true);
-    t.start();
-  }
-
   private void accept(ServerSocket host) throws IOException {
     while (true) {
       Socket s = host.accept();
       accepted.add(s);
-      spawn(
+      World.spawn(
           () -> {
             int b;
             while ((b = s.getInputStream().read()) >= 0) {
--- a/src/test/java/corkproxy/proxy/DiscoveryTest.java
+++ b/src/test/java/corkproxy/proxy/DiscoveryTest.java
@@ -19,7 +19,6 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -458,7 +457,7 @@
           }
         };
     world.grace = 4_000;
-    world.listen = freePort();
+    world.listen = World.freePort();
     CompletableFuture<String> first =
         CompletableFuture.supplyAsync(() -> firstAnswer(world.listen));
     CompletableFuture<Void> started =
@@ -486,12 +485,6 @@
     assertThat(drained.heads).isEmpty();
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return s.getLocalPort();
-    }
-  }
-
   /** The answer to a request that is sent as soon as anybody listens there. */
   private static String firstAnswer(int port) {
     long until = System.nanoTime() + World.PATIENCE_MS * 1_000_000L;
--- a/src/test/java/corkproxy/proxy/EndingsTest.java
+++ b/src/test/java/corkproxy/proxy/EndingsTest.java
@@ -234,17 +234,10 @@
       long waited = (System.nanoTime() - whole) / 1_000_000;
       host.comesUp();
       assertThat(World.read(s.getInputStream())).endsWith("late");
-      assertThat(told(host.heads.get(0))).isBetween(1L, world.deadline - waited);
+      assertThat(Long.parseLong(World.header(host.heads.get(0), "X-Timeout-Ms"))).isBetween(1L, world.deadline - waited);
     }
   }
 
-  /** The time (ms) that a request tells its host. */
-  private static long told(String head) {
-    String name = "X-Timeout-Ms: ";
-    int at = head.indexOf(name) + name.length();
-    return Long.parseLong(head.substring(at, head.indexOf('\r', at)));
-  }
-
   /** Requests of which the host has got a body so long, to its last byte. */
   private static long whole(World.Host host, int size) {
     return host.heads.stream().filter(h -> h.length() - h.indexOf("\r\n\r\n") - 4 == size).count();
@@ -314,9 +307,20 @@
   }
 
   private static String news(boolean full, int version, String address, String state, long started) {
-    return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[{\"id\":\"h\",\"addr\":\"" + address
-        + "\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":1,\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":" + started
-        + "}]}";
+    return list(full, version, entry("h", address, 1, state, started));
+  }
+
+  private static String list(boolean full, int version, String... entries) {
+    return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", entries) + "]}";
+  }
+
+  private static String entry(String id, String address, int cell, String state, long started) {
+    return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":" + cell
+        + ",\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":" + started + "}";
+  }
+
+  private static String entry(String id, String address, int cell) {
+    return entry(id, address, cell, "up", 0);
   }
 
   /** What waits for the host as it was has not gone out, so it must not go out to what it has become, or after its grace. */
@@ -332,13 +336,13 @@
       World.await(() -> world.upstreams() == 1);
       discovery.news.add(
           switch (change) {
-            case "left out" -> "{\"version\":42,\"full\":true,\"servers\":[]}";
+            case "left out" -> list(true, 42);
             case "moved" -> news(false, 42, other.address(), "up", 0);
             case "started anew" -> news(false, 42, host.address(), "up", System.currentTimeMillis());
             default -> news(false, 42, host.address(), change, 0);
           });
       if (change.equals("started anew")) {
-        discovery.news.add("{\"version\":43,\"full\":false,\"servers\":[" + entry("behind", other.address(), 1) + "]}");
+        discovery.news.add(list(false, 43, entry("behind", other.address(), 1)));
         World.await(() -> world.onLoop(() -> world.proxy.sends("behind"))); // and so the change before it has been taken
         host.comesUp(); // for a connection of its own: the one before was withdrawn
         assertThat(World.read(s.getInputStream())).endsWith("late");
@@ -354,11 +358,6 @@
     }
   }
 
-  private static String entry(String id, String address, int cell) {
-    return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":" + cell
-        + ",\"state\":\"up\",\"weight\":1.0,\"started_ms\":0}";
-  }
-
   /** Its reading waits for memory, so its end stands unread behind the rest of its body. */
   @Test
   void aClientThatLeavesWhileItsBodyWaitsForMemoryIsNotSentOn() throws Exception {
@@ -410,15 +409,13 @@
     world.aim = 100;
     World.Host hangs = world.new Host(h -> null);
     World.LateHost late = world.new LateHost(h -> ok("late"));
-    String list = "{\"version\":41,\"full\":true,\"servers\":[" + entry("hangs", hangs.address(), 1) + ","
-        + entry("late", late.address(), 1) + "]}";
+    String list = list(true, 41, entry("hangs", hangs.address(), 1), entry("late", late.address(), 1));
     Teller discovery = new Teller(list);
     world.run(world.configure(discovery.address(), list), World.quietLog());
     try (Socket s = world.client()) {
       write(s, log("keyed"));
       World.await(() -> hangs.heads.size() == 1 && world.upstreams() == 2);
-      discovery.news.add(
-          "{\"version\":42,\"full\":false,\"servers\":[" + entry("late", late.address(), 2) + "]}");
+      discovery.news.add(list(false, 42, entry("late", late.address(), 2)));
       World.await(() -> world.upstreams() == 1);
       late.comesUp();
       assertThat(late.heads).isEmpty();
@@ -436,10 +433,7 @@
     try (Socket s = world.client()) {
       write(s, claim("waits"));
       World.await(() -> world.upstreams() == 1);
-      String gone = news(false, 42, goes.address(), "removed", 0);
-      String entry = gone.substring(gone.indexOf("[{") + 1, gone.indexOf("]}"));
-      String come = entry.replace("\"h\"", "\"new\"").replace("removed", "up").replace(goes.address(), comes.address());
-      discovery.news.add(gone.replace(entry, entry + "," + come));
+      discovery.news.add(list(false, 42, entry("h", goes.address(), 1, "removed", 0), entry("new", comes.address(), 1)));
       assertThat(World.read(s.getInputStream())).endsWith("comes");
     }
   }
@@ -473,7 +467,7 @@
           void serve(Socket s) throws IOException, InterruptedException {
             String head;
             while ((head = World.read(s.getInputStream())) != null) {
-              String id = head.split("X-Request-ID: ")[1].split("\r\n")[0];
+              String id = World.header(head, "X-Request-ID");
               Thread.sleep(id.equals("third") ? 100 : 0); // what is late comes before it
               write(s, ok(id));
               Thread.sleep(25);
@@ -505,7 +499,7 @@
           void serve(Socket s) throws IOException, InterruptedException {
             String head;
             while ((head = World.read(s.getInputStream())) != null) {
-              String id = head.split("X-Request-ID: ")[1].split("\r\n")[0];
+              String id = World.header(head, "X-Request-ID");
               switch (id) {
                 case "reset" -> {
                   write(s, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of it");
--- a/src/test/java/corkproxy/proxy/RestartsTest.java
+++ b/src/test/java/corkproxy/proxy/RestartsTest.java
@@ -10,7 +10,6 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -132,16 +131,14 @@
     AtomicInteger seen = new AtomicInteger();
     return world.new Host(
         h -> {
-          arrived.add(h.split("X-Request-ID: ")[1].split("\r\n")[0]);
+          arrived.add(World.header(h, "X-Request-ID"));
           return seen.incrementAndGet() % hangsOneIn == 0 ? null : ok("done");
         });
   }
 
   @Test
   void tenThousandRequestsThroughTwentyRestartsAreNeitherLostNorRunTwice() throws Exception {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      world.listen = s.getLocalPort();
-    }
+    world.listen = World.freePort();
     World.Host[] hosts = {host(1), host(20), host(50), host(1_000_000), host(1_000_000)}; // the first one answers nobody
     World.Discovery d = world.new Discovery(40, hosts);
     for (int i = 0; i < CLIENTS; i++) {
--- a/src/test/java/corkproxy/proxy/SignalsTest.java
+++ b/src/test/java/corkproxy/proxy/SignalsTest.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -30,9 +29,7 @@
   void open() throws IOException {
     world = new World(folder, 128);
     world.deadline = World.PATIENCE_MS;
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      world.listen = s.getLocalPort();
-    }
+    world.listen = World.freePort();
   }
 
   @AfterEach
--- a/src/test/java/corkproxy/proxy/World.java
+++ b/src/test/java/corkproxy/proxy/World.java
@@ -249,11 +249,13 @@
     }
   }
 
-  private interface Task {
+  /** What a thread of a peer's does. */
+  public interface Task {
     void run() throws IOException, InterruptedException;
   }
 
-  private static void spawn(Task what) {
+  /** Runs it on a thread of its own, until it is over or the other side, or the test, has ended it. */
+  public static void spawn(Task what) {
     Thread t =
         new Thread(
             () -> {
@@ -312,6 +314,18 @@
     proxy.reload(file.toString());
   }
 
+  /** A port that nobody listens on now. */
+  public static int freePort() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
+    }
+  }
+
+  /** What a header of a message says that has it. */
+  static String header(String head, String name) {
+    return head.split(name + ": ")[1].split("\r\n")[0];
+  }
+
   static Log quietLog() {
     return new LineLog(quiet(), false);
   }
