Reproduce the incident's class on real processes: failing calls lose requests (known red)

The users' words (lost, dozens, a handful of processes, injected faults) and a process of the deploy file under a preload library that fails system calls as Linux documents give three losses: accept (EMFILE, ENFILE, ENOBUFS ...), read (EINTR, ENOMEM, ENOBUFS) and write (ENOBUFS, ENOMEM) on clients' connections.

--- /dev/null
+++ b/src/test/java/corkproxy/soak/ProxyProcess.java
@@ -0,0 +1,129 @@
+package corkproxy.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/** The platform's process as the deploy file runs it, from the classes under test; ended by its id. */
+final class ProxyProcess {
+  private static final long START_MS = 30_000;
+  private static final int CONNECT_MS = 500;
+
+  /** What faults a process is started with; {@code library} is null for none. */
+  record Faults(Path library, List<SystemCallFault> rules, long seed, String clock) {
+    static final Faults NONE = new Faults(null, List.of(), 0, null);
+  }
+
+  private final Path configuration;
+  private final Path folder;
+  private final int port;
+  private final int discoveryPort;
+  private Process process;
+
+  ProxyProcess(Path configuration, Path folder, int port, int discoveryPort) {
+    this.configuration = configuration;
+    this.folder = folder;
+    this.port = port;
+    this.discoveryPort = discoveryPort;
+  }
+
+  int port() {
+    return port;
+  }
+
+  Path faultLog() {
+    return folder.resolve("faults.log");
+  }
+
+  Path log() {
+    return folder.resolve("proxy.log");
+  }
+
+  /** Starts it and waits until it says that it can serve. */
+  void start(Faults faults) throws IOException, InterruptedException {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(virtualMachineOptions());
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), "corkproxy.Main", "proxy"));
+    ProcessBuilder builder = new ProcessBuilder(command);
+    builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+    Path own = Files.createDirectories(folder.resolve("tmp"));
+    builder.environment().putAll(Map.of("BALANCER_CONFIG", configuration.toString(), "TMPDIR", own.toString()));
+    if (faults.library() != null) {
+      String rules = faults.rules().stream().map(SystemCallFault::rule).collect(Collectors.joining(";"));
+      builder.environment().put("LD_PRELOAD", faults.library().toString());
+      builder.environment().put("SYSCALL_FAULTS", rules);
+      builder.environment().put("SYSCALL_FAULTS_SEED", Long.toString(faults.seed()));
+      builder.environment().put("SYSCALL_FAULTS_LOG", faultLog().toString());
+      builder.environment().put("SYSCALL_FAULTS_DISCOVERY", Integer.toString(discoveryPort));
+      if (faults.clock() != null) {
+        builder.environment().put("SYSCALL_FAULTS_CLOCK", faults.clock());
+      }
+    }
+    process = builder.start();
+    awaitReady();
+  }
+
+  /** The options of the deploy folder: the limits of memory are the platform's. */
+  private static List<String> virtualMachineOptions() throws IOException {
+    return Files.readAllLines(Path.of("deploy/proxy.jvm")).stream().filter(line -> line.startsWith("-")).toList();
+  }
+
+  private void awaitReady() throws InterruptedException, IOException {
+    long until = System.nanoTime() + START_MS * 1_000_000;
+    while (!ready()) {
+      if (System.nanoTime() > until || !process.isAlive()) {
+        throw new IOException("the proxy did not become ready: " + Files.readString(log()));
+      }
+      Thread.sleep(10);
+    }
+  }
+
+  private boolean ready() {
+    try (Socket socket = new Socket()) {
+      socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CONNECT_MS);
+      socket.setSoTimeout(CONNECT_MS);
+      socket.getOutputStream().write("GET /_health HTTP/1.1\r\nHost: p\r\nConnection: close\r\n\r\n".getBytes());
+      return new String(socket.getInputStream().readNBytes(12)).equals("HTTP/1.1 200");
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  /** Sends a signal by name. */
+  void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+  }
+
+  boolean alive() {
+    return process.isAlive();
+  }
+
+  /** Its status, if it ends within so many ms. */
+  boolean endsWithin(long ms) throws InterruptedException {
+    return process.waitFor(Math.max(0, ms), TimeUnit.MILLISECONDS);
+  }
+
+  int status() {
+    return process.exitValue();
+  }
+
+  void kill() {
+    if (process != null) {
+      process.destroyForcibly();
+    }
+  }
+
+  /** Faults that reached the process so far. */
+  long injected() throws IOException {
+    return Files.exists(faultLog()) ? Files.lines(faultLog()).count() : 0;
+  }
+}
--- /dev/null
+++ b/src/test/java/corkproxy/soak/SoakRun.java
@@ -0,0 +1,231 @@
+package corkproxy.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One run: proxies as processes, servers and discovery, clients, and what goes wrong by a {@link SoakPlan}.
+ *
+ * <pre>
+ *   start | faults, disruptions and signals by their times -----------------------| clients stop | judge
+ *   0                                                                    plan.lengthMs()
+ * </pre>
+ */
+final class SoakRun implements AutoCloseable {
+  /** New connections go on coming for so long (ms) after SIGTERM, by the protocol page. */
+  private static final long NEW_CONNECTIONS_MS = 400;
+
+  /** SIGKILL comes so long (ms) after the longest deadline, of which no more than {@link #LONGEST_MS} counts. */
+  private static final long KILL_MARGIN_MS = 700;
+
+  private static final long LONGEST_MS = 3_000;
+  private static final long TAIL_MS = 1_500;
+
+  private final SoakPlan plan;
+  private final Path folder;
+  private final Path library;
+  private final SoakHistory history = new SoakHistory();
+  private final ExecutorService threads =
+      Executors.newCachedThreadPool(
+          task -> {
+            Thread thread = new Thread(task, "soak");
+            thread.setDaemon(true);
+            return thread;
+          });
+  private final List<FakeUpstream> upstreams = new ArrayList<>();
+  private final List<Node> nodes = new ArrayList<>();
+  private volatile boolean running = true;
+
+  /** A proxy with its discovery; clients ask it whether they may connect. */
+  private final class Node implements SoakClient.Target {
+    final int index;
+    final FakeDiscovery discovery;
+    final ProxyProcess process;
+    volatile boolean accepts;
+
+    Node(int index) throws IOException {
+      this.index = index;
+      this.discovery = new FakeDiscovery(index, history, threads);
+      upstreams.forEach(upstream -> discovery.set(upstream, "up"));
+      Path own = Files.createDirectories(folder.resolve("proxy" + index));
+      int port = freePort();
+      Path configuration = Files.writeString(own.resolve("config.json"), configuration(port, discovery));
+      this.process = new ProxyProcess(configuration, own, port, discovery.port());
+    }
+
+    void start() throws IOException, InterruptedException {
+      long seed = plan.seed() * 31 + index;
+      process.start(new ProxyProcess.Faults(library, plan.systemCallFaults(), seed, plan.clockStep()));
+      accepts = true;
+    }
+
+    @Override
+    public boolean acceptsConnections() {
+      return accepts;
+    }
+
+    @Override
+    public boolean running() {
+      return running;
+    }
+
+    @Override
+    public int port() {
+      return process.port();
+    }
+  }
+
+  /** {@code library} is the preload library, or null for none. */
+  SoakRun(SoakPlan plan, Path folder, Path library) throws IOException {
+    this.plan = plan;
+    this.folder = folder;
+    this.library = library;
+    for (int i = 0; i < plan.upstreams(); i++) {
+      upstreams.add(new FakeUpstream("s" + i, 0, plan.serviceMs(), history, threads, plan.seed() + i));
+    }
+    for (int i = 0; i < plan.proxies(); i++) {
+      nodes.add(new Node(i));
+    }
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private String configuration(int port, FakeDiscovery discovery) {
+    SoakClient.Habits habits = plan.habits();
+    return "{\"name\":\"n\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery.port()
+        + "\",\"seed\":\"" + Long.toHexString(plan.seed()) + "\",\"limits\":{\"memory_mb\":128,\"sockets\":" + plan.descriptors()
+        + "},\"known\":" + discovery.list() + ",\"settings\":{\"classes\":["
+        + "{\"name\":\"claim\",\"aim\":200,\"deadline\":" + habits.unsafeDeadlineMs() + ",\"semantics\":\"at_most_once\"},"
+        + "{\"name\":\"log\",\"aim\":200,\"deadline\":" + habits.keyedDeadlineMs() + ",\"semantics\":\"deduplicated\","
+        + "\"keyScope\":\"cell\",\"repeatWindow\":500}],"
+        + "\"limits\":{\"cancel\":" + plan.cancel() + ",\"retryAfter\":true,\"parallelTries\":true,\"maxAttempts\":" + plan.attempts()
+        + ",\"peers\":false,\"connIdle\":5000,\"connectTimeout\":200},"
+        + "\"rules\":{\"cold\":1000,\"startCapacity\":0.5,\"fall\":1000,\"fallMultiple\":3,\"askWithin\":6000,\"drainGrace\":"
+        + plan.graceMs() + "},\"report\":{\"how\":\"answers\"},\"balancers\":" + plan.proxies() + "}}";
+  }
+
+  /** Plays the plan to its end; what was recorded. */
+  SoakHistory play() throws Exception {
+    for (Node node : nodes) {
+      node.start();
+    }
+    long begun = System.nanoTime();
+    List<Thread> clients = startClients();
+    for (SoakPlan.Event event : plan.events()) {
+      sleepUntil(begun + event.atMs() * 1_000_000);
+      perform(event);
+    }
+    sleepUntil(begun + plan.lengthMs() * 1_000_000);
+    running = false;
+    for (Thread client : clients) {
+      client.join(LONGEST_MS + TAIL_MS);
+    }
+    for (Node node : nodes) {
+      if (!node.process.alive()) {
+        history.crashed("proxy " + node.index + " ended by itself: " + Files.readString(node.process.log()));
+      }
+    }
+    return history;
+  }
+
+  /** Faults of system calls that reached the processes. */
+  long injected() throws IOException {
+    long all = 0;
+    for (Node node : nodes) {
+      all += node.process.injected();
+    }
+    return all;
+  }
+
+  private List<Thread> startClients() {
+    List<Thread> clients = new ArrayList<>();
+    for (Node node : nodes) {
+      for (int i = 0; i < plan.clients(); i++) {
+        String name = "p" + node.index + "c" + i;
+        Thread client = new Thread(
+            new SoakClient(name, node.index, plan.habits(), node, history, plan.seed() * 1_000 + node.index * 100L + i), name);
+        client.setDaemon(true);
+        client.start();
+        clients.add(client);
+      }
+    }
+    return clients;
+  }
+
+  private static void sleepUntil(long nanos) throws InterruptedException {
+    long left = nanos - System.nanoTime();
+    if (left > 0) {
+      TimeUnit.NANOSECONDS.sleep(left);
+    }
+  }
+
+  private void perform(SoakPlan.Event event) throws Exception {
+    Node node = nodes.get(event.target() % nodes.size());
+    switch (event.kind()) {
+      case RESTART -> threads.execute(() -> restart(node));
+      case RELOAD -> node.process.signal("HUP");
+      case STOP -> pause(node, event.value());
+      case BEHAVE -> upstreams
+          .get(event.target() % upstreams.size())
+          .behave(FakeUpstream.Behaviour.values()[(int) event.value()]);
+      case DRAIN -> {
+        FakeUpstream leaving = upstreams.get(event.target() % upstreams.size());
+        nodes.forEach(each -> each.discovery.set(leaving, "draining"));
+      }
+      case SILENCE -> node.discovery.silent(event.value() != 0);
+      case DROP_WATCHES -> node.discovery.dropWatches();
+    }
+  }
+
+  private static void pause(Node node, long ms) throws Exception {
+    node.process.signal("STOP");
+    Thread.sleep(ms);
+    node.process.signal("CONT");
+  }
+
+  /** SIGTERM, SIGKILL at the earliest that the page allows, and the next process at the same address. */
+  private void restart(Node node) {
+    try {
+      SoakClient.Habits habits = plan.habits();
+      long longest = Math.min(LONGEST_MS, Math.max(habits.unsafeDeadlineMs(), habits.keyedDeadlineMs()));
+      long killAt = System.nanoTime() + (longest + KILL_MARGIN_MS) * 1_000_000;
+      node.process.signal("TERM");
+      Thread.sleep(NEW_CONNECTIONS_MS);
+      node.accepts = false;
+      boolean ended = node.process.endsWithin((killAt - System.nanoTime()) / 1_000_000);
+      if (ended && node.process.status() != 0) {
+        history.crashed("proxy " + node.index + " ended with status " + node.process.status());
+      }
+      node.process.kill();
+      node.process.endsWithin(LONGEST_MS);
+      node.start();
+    } catch (IOException e) {
+      history.crashed("restart of proxy " + node.index + ": " + e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    running = false;
+    for (Node node : nodes) {
+      node.process.kill();
+      node.discovery.close();
+    }
+    upstreams.forEach(FakeUpstream::close);
+    threads.shutdownNow();
+  }
+}
--- /dev/null
+++ b/src/test/java/corkproxy/soak/SystemCallFaultsTest.java
@@ -0,0 +1,61 @@
+package corkproxy.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Assumptions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The platform's process under system calls that fail as Linux documents, one kind at a time. */
+class SystemCallFaultsTest {
+  private static final long LENGTH_MS = 4_000;
+  private static final long SLACK_MS = 100;
+  private static final int LEAST_REQUESTS = 200;
+
+  @TempDir Path folder;
+
+  private void everyRequestIsAnswered(String call, String role, List<String> faults, int oneIn) throws Exception {
+    Optional<Path> library = PreloadLibrary.build(folder);
+    Assumptions.assumeTrue(library.isPresent(), "a C compiler");
+    List<SystemCallFault> rules = faults.stream().map(fault -> SystemCallFault.always(call, role, fault, oneIn * faults.size())).toList();
+    SoakPlan plan = SoakPlan.steady(11, LENGTH_MS, rules);
+    try (SoakRun run = new SoakRun(plan, folder, library.get())) {
+      SoakHistory history = run.play();
+      List<SoakJudge.Violation> violations = new SoakJudge(history, plan.graceMs(), SLACK_MS).violations();
+      System.out.println(call + " " + role + " " + faults + " one in " + oneIn + ": requests " + history.requests().size()
+          + ", faults injected " + run.injected() + ", broken " + violations.size());
+      assertThat(history.requests()).hasSizeGreaterThan(LEAST_REQUESTS);
+      assertThat(reached(run)).containsAll(faults);
+      assertThat(violations).isEmpty();
+    }
+  }
+
+  /** The kinds of fault that reached the process. */
+  private List<String> reached(SoakRun run) throws Exception {
+    List<String> kinds = new ArrayList<>();
+    for (String line : Files.readAllLines(folder.resolve("proxy0/faults.log"))) {
+      kinds.add(line.split(" ")[3]);
+    }
+    return kinds;
+  }
+
+  @Test
+  void failuresOfAcceptLoseNoRequest() throws Exception {
+    everyRequestIsAnswered("accept", "listener", SoakPlan.ACCEPT_FAULTS, 10);
+  }
+
+  @Test
+  void transientFailuresOfReadOnClientConnectionsLoseNoRequest() throws Exception {
+    everyRequestIsAnswered("read", "client", SoakPlan.TRANSIENT_READ_FAULTS, 10);
+  }
+
+  @Test
+  void transientFailuresOfWriteOnClientConnectionsLoseNoRequest() throws Exception {
+    everyRequestIsAnswered("write", "client", SoakPlan.TRANSIENT_WRITE_FAULTS, 10);
+  }
+}
--- /dev/null
+++ b/src/test/native/syscall_faults.c
@@ -0,0 +1,324 @@
+/*
+ * Preload library that makes system calls of a process fail the way Linux documents, by a seeded script.
+ *
+ * Environment:
+ *   SYSCALL_FAULTS      rules separated by ';', each "call role fault one_in [from_ms to_ms]"
+ *                         call    accept, socket, connect, read, write, epoll_wait
+ *                         role    listener, client (accepted), upstream (connected), discovery, any
+ *                         fault   an errno name of the table below, or SHORT (one byte at most)
+ *                         one_in  mean distance between two faults in calls; 1 is each call
+ *                         from_ms to_ms   since the process began; always, where they are left out
+ *   SYSCALL_FAULTS_SEED  seed of the choice of calls
+ *   SYSCALL_FAULTS_LOG   file that gets a line for each injected fault: "ms call role fault"
+ *   SYSCALL_FAULTS_DISCOVERY  port of discovery, which tells its sockets from those to servers
+ *   SYSCALL_FAULTS_CLOCK "from_ms step_ms": the wall clock is stepped so far at that time; the monotonic one is not
+ */
+#define _GNU_SOURCE
+#include <arpa/inet.h>
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <stdatomic.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/syscall.h>
+#include <sys/time.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+#define MAX_RULES 16
+#define MAX_FDS 65536
+#define SHORT_TRANSFER -1
+
+enum role { NONE, LISTENER, CLIENT, UPSTREAM, DISCOVERY, ANY };
+static const char *const ROLE_NAMES[] = {"none", "listener", "client", "upstream", "discovery", "any"};
+
+struct rule {
+  char call[16];
+  enum role role;
+  char name[20];
+  int fault;
+  unsigned one_in;
+  long from_ms;
+  long to_ms;
+};
+
+static const struct {
+  const char *name;
+  int number;
+} ERRNOS[] = {
+    {"SHORT", SHORT_TRANSFER}, {"EINTR", EINTR},           {"EAGAIN", EAGAIN},           {"ECONNABORTED", ECONNABORTED},
+    {"EMFILE", EMFILE},        {"ENFILE", ENFILE},         {"ENOBUFS", ENOBUFS},         {"ENOMEM", ENOMEM},
+    {"EPROTO", EPROTO},        {"EPERM", EPERM},           {"ENETDOWN", ENETDOWN},       {"ENETUNREACH", ENETUNREACH},
+    {"EHOSTDOWN", EHOSTDOWN},  {"EHOSTUNREACH", EHOSTUNREACH}, {"ETIMEDOUT", ETIMEDOUT}, {"EADDRNOTAVAIL", EADDRNOTAVAIL},
+    {"ECONNREFUSED", ECONNREFUSED}, {"ECONNRESET", ECONNRESET}, {"EPIPE", EPIPE},       {"EOPNOTSUPP", EOPNOTSUPP},
+    {"ENOPROTOOPT", ENOPROTOOPT}, {"ENONET", ENONET},
+};
+
+static struct rule rules[MAX_RULES];
+static int rule_count;
+static atomic_uchar roles[MAX_FDS];
+static atomic_ulong calls;
+static uint64_t seed;
+static int log_fd = -1;
+static int discovery_port;
+static long clock_from_ms = -1;
+static long clock_step_ms;
+static struct timespec begun;
+
+static long now_ms(void) {
+  struct timespec t;
+  syscall(SYS_clock_gettime, CLOCK_MONOTONIC, &t);
+  return (t.tv_sec - begun.tv_sec) * 1000 + (t.tv_nsec - begun.tv_nsec) / 1000000;
+}
+
+static void fail_start(const char *what) {
+  dprintf(2, "syscall_faults: bad rule: %s\n", what);
+  _exit(99);
+}
+
+static void parse_rule(char *text) {
+  struct rule *r = &rules[rule_count];
+  char role[16];
+  int n = sscanf(text, "%15s %15s %19s %u %ld %ld", r->call, role, r->name, &r->one_in, &r->from_ms, &r->to_ms);
+  if (n < 4 || n == 5 || r->one_in == 0 || rule_count == MAX_RULES - 1) {
+    fail_start(text);
+  }
+  if (n == 4) {
+    r->from_ms = 0;
+    r->to_ms = INT32_MAX;
+  }
+  int found = 0;
+  for (int i = LISTENER; i <= ANY; i++) {
+    if (!strcmp(ROLE_NAMES[i], role)) {
+      r->role = i;
+      found |= 1;
+    }
+  }
+  for (size_t i = 0; i < sizeof ERRNOS / sizeof *ERRNOS; i++) {
+    if (!strcmp(ERRNOS[i].name, r->name)) {
+      r->fault = ERRNOS[i].number;
+      found |= 2;
+    }
+  }
+  if (found != 3) {
+    fail_start(text);
+  }
+  rule_count++;
+}
+
+__attribute__((constructor)) static void begin(void) {
+  syscall(SYS_clock_gettime, CLOCK_MONOTONIC, &begun);
+  const char *text = getenv("SYSCALL_FAULTS_SEED");
+  seed = text ? strtoull(text, NULL, 10) : 1;
+  text = getenv("SYSCALL_FAULTS_DISCOVERY");
+  discovery_port = text ? atoi(text) : 0;
+  text = getenv("SYSCALL_FAULTS_LOG");
+  log_fd = text ? open(text, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644) : -1;
+  text = getenv("SYSCALL_FAULTS_CLOCK");
+  if (text && sscanf(text, "%ld %ld", &clock_from_ms, &clock_step_ms) != 2) {
+    fail_start(text);
+  }
+  text = getenv("SYSCALL_FAULTS");
+  char *copy = strdup(text ? text : "");
+  for (char *save, *rule = strtok_r(copy, ";", &save); rule; rule = strtok_r(NULL, ";", &save)) {
+    parse_rule(rule);
+  }
+  free(copy);
+}
+
+static uint64_t mix(uint64_t z) {
+  z += 0x9e3779b97f4a7c15u;
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+  return z ^ (z >> 31);
+}
+
+static enum role role_of(int fd) { return fd >= 0 && fd < MAX_FDS ? atomic_load(&roles[fd]) : NONE; }
+
+static void set_role(int fd, enum role role) {
+  if (fd >= 0 && fd < MAX_FDS) {
+    atomic_store(&roles[fd], role);
+  }
+}
+
+/* The fault for this call: 0 for none, SHORT_TRANSFER, or an errno. */
+static int fault_for(const char *call, enum role role) {
+  for (int i = 0; i < rule_count; i++) {
+    struct rule *r = &rules[i];
+    if (strcmp(r->call, call) || (r->role != ANY && r->role != role)) {
+      continue;
+    }
+    if (mix(seed ^ (atomic_fetch_add(&calls, 1) << 8)) % r->one_in) {
+      continue;
+    }
+    long at = now_ms();
+    if (at < r->from_ms || at >= r->to_ms) {
+      continue;
+    }
+    if (log_fd >= 0) {
+      char line[96];
+      int n = snprintf(line, sizeof line, "%ld %s %s %s\n", at, call, ROLE_NAMES[role], r->name);
+      if (syscall(SYS_write, log_fd, line, n) < 0) {
+        /* a history without this line */
+      }
+    }
+    return r->fault;
+  }
+  return 0;
+}
+
+#define NEXT(name, ...) \
+  static __typeof__(&name) next; \
+  if (!next) { \
+    next = (__typeof__(&name))dlsym(RTLD_NEXT, #name); \
+  }
+
+#define FAIL_OR(call, role) \
+  int fault = fault_for(call, role); \
+  if (fault > 0) { \
+    errno = fault; \
+    return -1; \
+  }
+
+int accept(int fd, struct sockaddr *address, socklen_t *length) {
+  NEXT(accept)
+  FAIL_OR("accept", LISTENER)
+  int accepted = next(fd, address, length);
+  set_role(accepted, CLIENT);
+  return accepted;
+}
+
+int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
+  NEXT(accept4)
+  FAIL_OR("accept", LISTENER)
+  int accepted = next(fd, address, length, flags);
+  set_role(accepted, CLIENT);
+  return accepted;
+}
+
+int socket(int domain, int type, int protocol) {
+  NEXT(socket)
+  FAIL_OR("socket", ANY)
+  int fd = next(domain, type, protocol);
+  set_role(fd, NONE);
+  return fd;
+}
+
+static int port_of(const struct sockaddr *address) {
+  if (address->sa_family == AF_INET) {
+    return ntohs(((const struct sockaddr_in *)address)->sin_port);
+  }
+  return address->sa_family == AF_INET6 ? ntohs(((const struct sockaddr_in6 *)address)->sin6_port) : 0;
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t length) {
+  NEXT(connect)
+  int port = port_of(address);
+  enum role role = port == 0 ? NONE : port == discovery_port ? DISCOVERY : UPSTREAM;
+  set_role(fd, role);
+  FAIL_OR("connect", role)
+  return next(fd, address, length);
+}
+
+int close(int fd) {
+  NEXT(close)
+  set_role(fd, NONE);
+  return next(fd);
+}
+
+ssize_t read(int fd, void *bytes, size_t count) {
+  NEXT(read)
+  enum role role = role_of(fd);
+  if (role == NONE) {
+    return next(fd, bytes, count);
+  }
+  FAIL_OR("read", role)
+  return next(fd, bytes, fault == SHORT_TRANSFER && count > 1 ? 1 : count);
+}
+
+ssize_t recv(int fd, void *bytes, size_t count, int flags) {
+  NEXT(recv)
+  enum role role = role_of(fd);
+  FAIL_OR("read", role)
+  return next(fd, bytes, fault == SHORT_TRANSFER && count > 1 ? 1 : count, flags);
+}
+
+ssize_t readv(int fd, const struct iovec *parts, int count) {
+  NEXT(readv)
+  FAIL_OR("read", role_of(fd))
+  return next(fd, parts, fault == SHORT_TRANSFER ? 1 : count);
+}
+
+ssize_t write(int fd, const void *bytes, size_t count) {
+  NEXT(write)
+  enum role role = role_of(fd);
+  if (role == NONE) {
+    return next(fd, bytes, count);
+  }
+  FAIL_OR("write", role)
+  return next(fd, bytes, fault == SHORT_TRANSFER && count > 1 ? 1 : count);
+}
+
+ssize_t send(int fd, const void *bytes, size_t count, int flags) {
+  NEXT(send)
+  FAIL_OR("write", role_of(fd))
+  return next(fd, bytes, fault == SHORT_TRANSFER && count > 1 ? 1 : count, flags);
+}
+
+ssize_t writev(int fd, const struct iovec *parts, int count) {
+  NEXT(writev)
+  enum role role = role_of(fd);
+  if (role == NONE) {
+    return next(fd, parts, count);
+  }
+  FAIL_OR("write", role)
+  if (fault == SHORT_TRANSFER && count > 0 && parts[0].iov_len > 0) {
+    struct iovec one = {parts[0].iov_base, 1};
+    return next(fd, &one, 1);
+  }
+  return next(fd, parts, count);
+}
+
+int epoll_wait(int epfd, struct epoll_event *events, int most, int timeout) {
+  NEXT(epoll_wait)
+  FAIL_OR("epoll_wait", ANY)
+  return next(epfd, events, most, timeout);
+}
+
+/* CLOCK_REALTIME as stepped; every other clock is the kernel's. */
+static void step(struct timespec *t) {
+  if (clock_from_ms < 0 || now_ms() < clock_from_ms) {
+    return;
+  }
+  int64_t ns = (int64_t)t->tv_sec * 1000000000 + t->tv_nsec + (int64_t)clock_step_ms * 1000000;
+  t->tv_sec = ns / 1000000000;
+  t->tv_nsec = ns % 1000000000;
+}
+
+int clock_gettime(clockid_t clock, struct timespec *t) {
+  if (clock_from_ms < 0) { /* fast path through the vDSO where no step is asked for */
+    NEXT(clock_gettime)
+    return next(clock, t);
+  }
+  int result = syscall(SYS_clock_gettime, clock, t);
+  if (result == 0 && clock == CLOCK_REALTIME) {
+    step(t);
+  }
+  return result;
+}
+
+int gettimeofday(struct timeval *restrict tv, void *restrict zone) {
+  (void)zone;
+  struct timespec t;
+  clock_gettime(CLOCK_REALTIME, &t);
+  tv->tv_sec = t.tv_sec;
+  tv->tv_usec = t.tv_nsec / 1000;
+  return 0;
+}
