--- a/src/main/java/corkproxy/engine/Call.java
+++ b/src/main/java/corkproxy/engine/Call.java
@@ -9,6 +9,11 @@
   /** The request goes on as this exchange: the first one, or a further one in another pool. */
   void carriedBy(Exchange exchange);
 
+  /** The id by which its client and the servers know it, or null; for the log. */
+  default String id() {
+    return null;
+  }
+
   /**
    * Whether every byte of the request that has come is still held, so that another attempt can be sent.
    * A request that streams loses that with the first byte past its replay bound; the engine then gives
--- a/src/main/java/corkproxy/engine/Dispatcher.java
+++ b/src/main/java/corkproxy/engine/Dispatcher.java
@@ -292,7 +292,8 @@
           "outcome", word(result),
           "server", a.host.name,
           "attempt", number + 1,
-          "ms", Math.round(spent));
+          "ms", Math.round(spent),
+          "id", e.requestId());
     }
     deliver(e, () -> balancer.onOutcome(now(), e.id, number, result, spent, over, report));
   }
--- a/src/main/java/corkproxy/engine/Exchange.java
+++ b/src/main/java/corkproxy/engine/Exchange.java
@@ -71,6 +71,11 @@
     return Math.max(1, (long) (deadlineAt - dispatcher.now()));
   }
 
+  /** The request's id as its client knows it, or null; for the log. */
+  String requestId() {
+    return call.id();
+  }
+
   /** The pool that has it, or null. */
   public String pool() {
     return dispatcher.name();
--- a/src/main/java/corkproxy/http/ClientConnection.java
+++ b/src/main/java/corkproxy/http/ClientConnection.java
@@ -101,6 +101,8 @@
       if (call != null) {
         call.exchange().abandon();
       }
+    } else if (front.log().details()) {
+      front.log().detail("client connection failed", "cause", cause.getMessage(), "id", requestId());
     }
     channel.close();
   }
@@ -418,7 +420,13 @@
             "server", e == null ? null : e.server(),
             "attempt", e == null ? null : e.attempts(),
             "ms", since == 0 ? null : (System.nanoTime() - since) / 1_000_000,
-            "client", channel.remoteAddress());
+            "client", channel.remoteAddress(),
+            "id", requestId());
+  }
+
+  /** The id of the request that it carries, or null. */
+  private String requestId() {
+    return call == null ? null : call.id();
   }
 
   // --- upkeep
@@ -448,7 +456,11 @@
     }
   }
 
-  void close() {
+  /** Closes it at once, for a reason that the log tells. */
+  void close(CloseReason reason) {
+    if (front.log().details()) {
+      front.log().detail("client connection closed", "reason", reason, "id", requestId(), "client", channel.remoteAddress());
+    }
     channel.close();
   }
 
@@ -510,22 +522,23 @@
 
   private void sweepIdle(long now) {
     if (intake.skipping()) {
-      closeIf(now - idleSince > slowNanos);
+      closeIf(now - idleSince > slowNanos, CloseReason.SLOW);
     } else if (answers.writing()) {
-      closeIf(answers.stalled(now));
+      closeIf(answers.stalled(now), CloseReason.STALLED);
     } else if (decoder.receiving()) {
       if (now - receivingSince() > slowNanos + bodyNanos()) {
         reject(intake.paused() ? 503 : 408);
       }
     } else {
       long idleNanos = front.settings().idleMostMs() * 1_000_000L;
-      closeIf(away(now) || (spoken ? now - idleSince > idleNanos : now - openedAt > slowNanos));
+      closeIf(away(now), CloseReason.DRAINING);
+      closeIf(spoken ? now - idleSince > idleNanos : now - openedAt > slowNanos, CloseReason.IDLE);
     }
   }
 
-  private void closeIf(boolean due) {
-    if (due) {
-      channel.close();
+  private void closeIf(boolean due, CloseReason reason) {
+    if (due && channel.isOpen()) {
+      close(reason);
     }
   }
 }
--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -140,7 +140,7 @@
       if (c == null) {
         ch.close();
       } else {
-        c.close();
+        c.close(CloseReason.MAKE_ROOM);
       }
     }
   }
@@ -166,7 +166,7 @@
         }
         return;
       }
-      c.close();
+      c.close(CloseReason.MAKE_ROOM);
     }
   }
 
@@ -174,7 +174,7 @@
   private boolean yieldOne() {
     ClientConnection c = mostDispensable(listener == null ? LOOKS : Integer.MAX_VALUE);
     if (c != null) {
-      c.close();
+      c.close(CloseReason.MAKE_ROOM);
     }
     return c != null;
   }
@@ -250,7 +250,7 @@
     draining = true;
     for (ClientConnection c : new ArrayList<>(connections)) {
       if (!c.busy() && !c.fresh()) {
-        c.close();
+        c.close(CloseReason.DRAINING);
       }
     }
   }
@@ -263,7 +263,7 @@
     boolean any = false;
     for (ClientConnection c : new ArrayList<>(connections)) {
       if (c.clearable(heard())) {
-        c.close();
+        c.close(CloseReason.DRAINING);
         any = true;
       }
     }
--- a/src/main/java/corkproxy/http/HttpCall.java
+++ b/src/main/java/corkproxy/http/HttpCall.java
@@ -90,6 +90,11 @@
     return exchange;
   }
 
+  @Override
+  public String id() {
+    return head.headers().get("X-Request-ID");
+  }
+
   boolean isHead() {
     return head.method().equals(HttpMethod.HEAD);
   }
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -63,6 +63,9 @@
 
   private static final long RELOAD_RETRY_MS = 150;
 
+  /** A line for each request and attempt that failed and each connection closed, where this variable is 1; for incidents. */
+  private static final String LOG_DETAILS = "BALANCER_LOG_DETAILS";
+
   /** How long (ms) a process that takes over from another waits for discovery before it listens. */
   private static final long TOLD_MS = 1_500;
 
@@ -163,7 +166,7 @@
    */
   public static void run(Map<String, String> env) throws ConfigException {
     InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE); // or netty loads the daemon's log
-    Log log = new LineLog(System.err, false);
+    Log log = new LineLog(System.err, "1".equals(env.get(LOG_DETAILS)));
     Config config = Config.load(env);
     Generations generations = Generations.join(env.get("TMPDIR"));
     Operators operators = new Operators();
