Keep connections and the listener through system calls that fail for the moment

Cause: three places took one failed call for the end of something. Netty's acceptor stops for 1 s at each failed accept, as long as a request has; the JDK tells an interrupted read by -3, which netty takes for the end of the stream; any failed read or write closes the connection, also for want of memory or buffers. Each loses what its client waits for.

--- a/src/main/java/corkproxy/daemon/Daemon.java
+++ b/src/main/java/corkproxy/daemon/Daemon.java
@@ -1,5 +1,6 @@
 package corkproxy.daemon;
 
+import corkproxy.engine.AcceptBackoff;
 import corkproxy.engine.Log;
 import corkproxy.engine.NativeTransport;
 import corkproxy.engine.NioTransport;
@@ -11,6 +12,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -290,6 +292,13 @@
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .option(ChannelOption.AUTO_READ, false)
+        .handler(
+            new ChannelInitializer<ServerChannel>() {
+              @Override
+              protected void initChannel(ServerChannel listener) {
+                listener.pipeline().addLast(AcceptBackoff.of(listener, log.with("listener", l.name())::line));
+              }
+            })
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.RECVBUF_ALLOCATOR, Upstreams.READS)
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Upstreams.MARKS)
--- a/src/main/java/corkproxy/engine/NioTransport.java
+++ b/src/main/java/corkproxy/engine/NioTransport.java
@@ -4,8 +4,6 @@
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
@@ -13,7 +11,7 @@
 /** The JDK's sockets, on any platform. */
 public final class NioTransport implements Transport {
   /** A socket that can be asked, ahead of the loop's next turn, what has come on it. */
-  public static final class Connection extends NioSocketChannel {
+  public static final class Connection extends RetryingSocketChannel {
     private static final int BEHIND_CHUNK = 16 * 1024;
 
     /** What is looked through at most for the end of who sends without end: a look must not cost the loop its time. */
@@ -32,7 +30,7 @@
     private End end() {
       try {
         one.clear();
-        int n = javaChannel().read(one);
+        int n = readNow(one);
         return n < 0 ? End.ENDED : n == 0 ? End.NONE : End.LOST_BYTE;
       } catch (IOException e) {
         return End.ENDED;
@@ -43,7 +41,7 @@
       ByteBuffer some = ByteBuffer.allocate(BEHIND_CHUNK);
       try {
         int n = 0;
-        for (int seen = 0; seen < BEHIND_BYTES && (n = javaChannel().read(some.clear())) > 0; seen += n) {
+        for (int seen = 0; seen < BEHIND_BYTES && (n = readNow(some.clear())) > 0; seen += n) {
           // thrown away
         }
         return n < 0 ? End.ENDED : End.NONE;
@@ -59,7 +57,7 @@
     boolean quiet() {
       try {
         one.clear();
-        return javaChannel().read(one) == 0;
+        return readNow(one) == 0;
       } catch (IOException e) {
         return false;
       }
@@ -73,7 +71,7 @@
 
   @Override
   public Class<? extends ServerChannel> listener() {
-    return NioServerSocketChannel.class;
+    return RetryingServerSocketChannel.class;
   }
 
   @Override
--- /dev/null
+++ b/src/main/java/corkproxy/engine/RetryingServerSocketChannel.java
@@ -0,0 +1,57 @@
+package corkproxy.engine;
+
+import io.netty.channel.Channel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+
+/**
+ * A listening socket of the JDK's on which a failed accept(2) costs one connection at most. Linux reports there what befell
+ * the connection that was next (ECONNABORTED, EPROTO, ENETDOWN ...), and shortages of its own (EMFILE, ENFILE, ENOBUFS,
+ * ENOMEM); neither says anything of those that stand behind it. A failure that lasts is thrown, for {@link AcceptBackoff}.
+ */
+public class RetryingServerSocketChannel extends NioServerSocketChannel {
+  private static final int TRIES = 4;
+
+  /**
+   * The next connection of the backlog, or null if nobody waits there.
+   *
+   * @throws IOException if accept fails {@value #TRIES} times in a row
+   */
+  protected SocketChannel acceptNext() throws IOException {
+    IOException failure = null;
+    for (int i = 0; i < TRIES; i++) {
+      try {
+        return javaChannel().accept();
+      } catch (ClosedChannelException e) {
+        throw e;
+      } catch (IOException e) {
+        failure = e;
+      }
+    }
+    throw failure;
+  }
+
+  /** The channel of a connection that was accepted. */
+  protected Channel connection(SocketChannel accepted) {
+    return new RetryingSocketChannel(this, accepted);
+  }
+
+  @Override
+  protected int doReadMessages(List<Object> accepted) throws Exception {
+    SocketChannel next = acceptNext();
+    if (next == null) {
+      return 0;
+    }
+    try {
+      accepted.add(connection(next));
+      return 1;
+    } catch (RuntimeException e) {
+      next.close();
+      // Guards the listener: netty closes it for any other exception.
+      throw new IOException("an accepted connection can't be used: " + e.getMessage(), e);
+    }
+  }
+}
--- a/src/main/java/corkproxy/engine/Upstreams.java
+++ b/src/main/java/corkproxy/engine/Upstreams.java
@@ -8,7 +8,11 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
+import java.net.BindException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -41,6 +45,9 @@
   /** Requests that a connection carries before it goes to another worker that waits for a place. */
   private static final int TURN = 16;
 
+  /** Of attempts that got no socket on this machine one in so many has a line in the log. */
+  private static final int REFUSALS_LOGGED = 100;
+
   private final EventLoop loop;
   private final Transport transport;
   private final Bootstrap bootstrap;
@@ -291,7 +298,7 @@
     ChannelFuture f = sockets.roomForUpstream() ? bootstrap.connect(host.address) : null;
     if (f == null || !f.channel().isRegistered()) {
       // The bound is reached, or the system's. Guards against a host that pays for what is ours: it had no part in it.
-      if (refused++ % 100 == 0) {
+      if (refused++ % REFUSALS_LOGGED == 0) {
         log.line("out of sockets: " + refused + " attempts had none");
       }
       if (places != null) {
@@ -317,6 +324,9 @@
         x -> {
           if (!host.connecting.remove(call)) {
             channel.close(); // given up meanwhile
+          } else if (f.cause() != null && ownFault(f.cause())) {
+            connectFailed(f.cause());
+            call.moot();
           } else if (!f.isSuccess()) {
             call.notSent();
           } else if (due(call)) {
@@ -325,6 +335,21 @@
         });
   }
 
+  /**
+   * Whether a connection did not come up for want of something of this machine's (ports, buffers, a network): EADDRNOTAVAIL is
+   * a {@link BindException} to the JDK, ENETUNREACH and ENOBUFS are plain. Guards against a host that pays for it.
+   */
+  private static boolean ownFault(Throwable cause) {
+    boolean aboutHost = cause instanceof ConnectException || cause instanceof NoRouteToHostException;
+    return cause instanceof SocketException && !aboutHost;
+  }
+
+  private void connectFailed(Throwable cause) {
+    if (refused++ % REFUSALS_LOGGED == 0) {
+      log.line("no connection to be had here: " + cause.getMessage() + ", " + refused + " attempts had none");
+    }
+  }
+
   /**
    * Whether a call may go out now; if not, it ends here, known not to have run. Asked when it comes and when its wait is
    * over. Guards against what has become of its request, its time, its host and its other attempts meanwhile.
--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -1,5 +1,6 @@
 package corkproxy.http;
 
+import corkproxy.engine.AcceptBackoff;
 import corkproxy.engine.BodyBudget;
 import corkproxy.engine.Hearing;
 import corkproxy.engine.Log;
@@ -81,6 +82,7 @@
             .option(
                 ChannelOption.RECVBUF_ALLOCATOR,
                 new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
+            .handler(new AcceptBackoff(log::line, this::rested))
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, Upstreams.READS)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Upstreams.MARKS)
--- a/src/main/java/corkproxy/proxy/Discovery.java
+++ b/src/main/java/corkproxy/proxy/Discovery.java
@@ -10,6 +10,7 @@
 import corkproxy.engine.Hearing;
 import corkproxy.engine.Hosts;
 import corkproxy.engine.Log;
+import corkproxy.engine.RetryingSocketChannel;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -21,7 +22,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -104,7 +104,7 @@
   private boolean hurried = true;
 
   Discovery(EventLoopGroup loop, Config config, Dispatcher dispatcher, Log log) {
-    this(loop, config, dispatcher, log, NioSocketChannel.class);
+    this(loop, config, dispatcher, log, RetryingSocketChannel.class);
   }
 
   /** {@code sockets} is what it connects with. */
--- a/src/main/java/corkproxy/proxy/Management.java
+++ b/src/main/java/corkproxy/proxy/Management.java
@@ -1,6 +1,8 @@
 package corkproxy.proxy;
 
+import corkproxy.engine.AcceptBackoff;
 import corkproxy.engine.Log;
+import corkproxy.engine.RetryingServerSocketChannel;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -10,9 +12,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -82,9 +84,16 @@
     listener =
         new ServerBootstrap()
             .group(group)
-            .channel(NioServerSocketChannel.class)
+            .channel(RetryingServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .handler(
+                new ChannelInitializer<ServerChannel>() {
+                  @Override
+                  protected void initChannel(ServerChannel socket) {
+                    socket.pipeline().addLast(AcceptBackoff.of(socket, log::line));
+                  }
+                })
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
