Reckon a server's start by the monotonic clock, bounded by when it was notified

Cause: Hosts read the wall clock once, when the process began, and took that offset for every start that discovery told later. A clock that was an hour ahead then, or is stepped, made a server that had just started look warm, or one that was warm look cold.

Change: engine.ServerStartClock turns a start into a monotonic instant when it is first notified, and never again; it lies between the notice and the discovery's last word that nothing was newer, 6 s included, and of the offsets seen the least counts. An ArchUnit test keeps the wall clock out of all else.

--- a/src/main/java/corkproxy/engine/Dispatcher.java
+++ b/src/main/java/corkproxy/engine/Dispatcher.java
@@ -74,7 +74,7 @@
     this.settings = settings;
     this.upstreams = upstreams;
     this.budget = budget;
-    this.hosts = new Hosts(System.currentTimeMillis() - now());
+    this.hosts = new Hosts(new ServerStartClock(System::currentTimeMillis, now()));
     this.balancer = new Balancer(settings, seed, this);
   }
 
@@ -226,7 +226,7 @@
 
   /** A list, or changes to it, that has been checked whole. */
   public void membership(corkproxy.balancer.News kind, Hosts.News news) {
-    Hosts.Change change = hosts.apply(news);
+    Hosts.Change change = hosts.apply(news, now());
     List<HostEntry> entries = change.entries();
     deliver(null, () -> balancer.onMembership(now(), kind, entries));
     if (suspicions != null) {
@@ -253,6 +253,11 @@
     deliver(null, () -> balancer.onSettings(next));
   }
 
+  /** The source of lists has said that there is nothing new. */
+  public void upToDate() {
+    hosts.upToDate(now());
+  }
+
   /** The watch broke or could not be opened. */
   public void followFailed() {
     deliver(null, () -> balancer.onMembership(now(), corkproxy.balancer.News.FAILED, null));
--- a/src/main/java/corkproxy/engine/Host.java
+++ b/src/main/java/corkproxy/engine/Host.java
@@ -29,6 +29,9 @@
   /** When its process started, as discovery tells: connections to an earlier one are dead. */
   double started;
 
+  /** The same in Unix time (ms) by the discovery's clock: what tells one start of its process from another. */
+  double startedUnixMs;
+
   /** Connections that carry nothing and may carry again, the longest idle first. */
   final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>(2);
 
--- a/src/main/java/corkproxy/engine/Hosts.java
+++ b/src/main/java/corkproxy/engine/Hosts.java
@@ -33,11 +33,10 @@
 
   private final Map<String, Host> byName = new HashMap<>();
   private final Map<Long, Host> byId = new HashMap<>();
-  private final double unixOffset;
+  private final ServerStartClock clock;
 
-  /** {@code unixOffset} is Unix time less the module's clock. */
-  Hosts(double unixOffset) {
-    this.unixOffset = unixOffset;
+  Hosts(ServerStartClock clock) {
+    this.clock = clock;
   }
 
   Host get(long id) {
@@ -57,8 +56,8 @@
     return false;
   }
 
-  /** Applies a list. */
-  Change apply(News news) {
+  /** Applies a list that came at {@code now} (ms) on the module's clock. */
+  Change apply(News news, double now) {
     List<HostEntry> entries = new ArrayList<>(news.members().size());
     Set<Host> cut = new LinkedHashSet<>();
     Set<Host> named = new HashSet<>();
@@ -69,8 +68,7 @@
         byName.put(h.name, h);
         byId.put(h.id, h);
       }
-      double started =
-          m.startedUnixMs() <= 0 ? 0 : Math.max(0, m.startedUnixMs() - unixOffset);
+      double started = started(h, m.startedUnixMs(), now);
       entries.add(
           new HostEntry(h.id, m.zone(), m.kind(), m.cell(), m.condition(), m.weight(), started));
       named.add(h);
@@ -81,6 +79,7 @@
         cut.add(h);
       }
       h.started = started;
+      h.startedUnixMs = m.startedUnixMs();
       h.zone = m.zone();
       h.cell = m.cell();
       if (m.address() != null) {
@@ -96,9 +95,23 @@
         }
       }
     }
+    clock.upToDate(now);
     return new Change(entries, cut);
   }
 
+  /** The instant of a start never moves once it has been told, whatever becomes of the wall clock. */
+  private double started(Host host, double startedUnixMs, double now) {
+    if (startedUnixMs <= 0) {
+      return 0;
+    }
+    return startedUnixMs == host.startedUnixMs ? host.started : clock.started(startedUnixMs, now);
+  }
+
+  /** Discovery has said that there is nothing new. */
+  void upToDate(double now) {
+    clock.upToDate(now);
+  }
+
   /** Guards against a fleet that churns for ever: a host that is gone and carries nothing is freed. */
   void forgetGone() {
     byId.values().removeIf(h -> !h.listed && h.calls == 0 && byName.remove(h.name) != null);
--- a/src/main/java/corkproxy/proxy/Discovery.java
+++ b/src/main/java/corkproxy/proxy/Discovery.java
@@ -449,6 +449,7 @@
      * module would keep for the next break: from a silence on there are 6 s, and they could be longer.
      */
     private void unchanged() {
+      dispatcher.upToDate();
       if (!good && asked && version != NO_VERSION) {
         dispatcher.membership(News.DELTA, new Hosts.News(version, false, List.of()));
       }
--- a/src/test/java/corkproxy/ArchitectureTest.java
+++ b/src/test/java/corkproxy/ArchitectureTest.java
@@ -70,6 +70,25 @@
     }
   }
 
+  /** Spans go by the monotonic clock: the wall clock is stepped by time services and by hand. */
+  @Test
+  void onlyStartsOfServersAndOperatorsOutputReadTheWallClock() {
+    noClasses()
+        .that()
+        .resideOutsideOfPackage("corkproxy.cli..")
+        .and()
+        .doNotHaveFullyQualifiedName("corkproxy.engine.Dispatcher")
+        .and()
+        .doNotHaveFullyQualifiedName("corkproxy.daemon.Daemon")
+        .should()
+        .callMethod(System.class, "currentTimeMillis")
+        .orShould()
+        .callMethod(java.time.Instant.class, "now")
+        .orShould()
+        .callMethod(java.time.Clock.class, "systemUTC")
+        .check(CLASSES);
+  }
+
   @Test
   void theEngineKnowsNoProtocol() {
     noClasses()
--- /dev/null
+++ b/src/test/java/corkproxy/engine/ServerStartClockTest.java
@@ -0,0 +1,95 @@
+package corkproxy.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ServerStartClockTest {
+  private static final double HOUR_MS = 3_600_000;
+  private static final double UNIX_AT_ZERO = 1_700_000_000_000.0;
+  private static final double NOTICE_MS = 2_000;
+
+  private double now = 1_000_000;
+  private double step;
+  private ServerStartClock clock;
+
+  @BeforeEach
+  void open() {
+    clock = clock();
+  }
+
+  private ServerStartClock clock() {
+    ServerStartClock fresh = new ServerStartClock(() -> UNIX_AT_ZERO + now + step, now);
+    fresh.upToDate(now);
+    return fresh;
+  }
+
+  /** A server starts now by the discovery's clock, which is right, and is notified a moment later; the age that it is given then. */
+  private double ageOfOneStartedNow() {
+    double startedUnixMs = UNIX_AT_ZERO + now;
+    now += NOTICE_MS;
+    double age = now - clock.started(startedUnixMs, now);
+    clock.upToDate(now);
+    return age;
+  }
+
+  @Test
+  void aClockThatIsRightGivesTheTrueAge() {
+    assertThat(ageOfOneStartedNow()).isEqualTo(NOTICE_MS, within(0.01));
+  }
+
+  @Test
+  void aServerThatStartedLongBeforeTheFirstListIsOld() {
+    assertThat(now - new ServerStartClock(() -> UNIX_AT_ZERO + now, now).started(UNIX_AT_ZERO + now - 600_000, now))
+        .isEqualTo(600_000, within(0.01));
+  }
+
+  @Test
+  void aStepForwardMakesNoNewServerOlder() {
+    for (double size : new double[] {500, 5_000, 60_000, HOUR_MS}) {
+      step = 0;
+      clock = clock();
+      step = size;
+      assertThat(ageOfOneStartedNow()).as("step of %s ms", size).isEqualTo(NOTICE_MS, within(0.01));
+    }
+  }
+
+  @Test
+  void aStepBackMakesServersYoungerByNoMoreThanTheNotice() {
+    for (double size : new double[] {500, 5_000, 60_000, HOUR_MS}) {
+      step = 0;
+      clock = clock();
+      step = -size;
+      assertThat(ageOfOneStartedNow()).as("step of -%s ms", size).isBetween(0.0, NOTICE_MS);
+    }
+  }
+
+  @Test
+  void aProcessThatBeganWithAClockAnHourAheadTakesNoNewServerForWarm() {
+    step = HOUR_MS;
+    clock = clock();
+    assertThat(ageOfOneStartedNow()).isBetween(0.0, NOTICE_MS);
+    step = 0;
+    assertThat(ageOfOneStartedNow()).isEqualTo(NOTICE_MS, within(0.01));
+  }
+
+  @Test
+  void aProcessThatBeganWithAClockAnHourBehindTakesServersForAsOldAsTheyCanBe() {
+    step = -HOUR_MS;
+    clock = clock();
+    assertThat(ageOfOneStartedNow()).isBetween(0.0, NOTICE_MS);
+    step = 0;
+    assertThat(ageOfOneStartedNow()).isBetween(0.0, NOTICE_MS);
+  }
+
+  @Test
+  void aDiscoveryWhoseClockIsSteppedBoundsNothingAnyMoreByWhatItToldBefore() {
+    ageOfOneStartedNow();
+    double ahead = UNIX_AT_ZERO + now + HOUR_MS;
+    assertThat(now - clock.started(ahead, now)).isEqualTo(0, within(0.01));
+    now += 10_000;
+    assertThat(ageOfOneStartedNow()).isBetween(0.0, NOTICE_MS);
+  }
+}
