Let a shortage at the start, an interrupted poll, a stopped log reader or a lost peer socket end nothing

Cause, by looking for the class of the incident's bug (one failed call taken for an end): a poll that is interrupted while a connection comes up failed it; a bind that fails once ended the start; a read error closed the socket of the peers for good; the loop wrote the log itself, so that whoever reads it and stops would stop all requests.

--- a/src/main/java/corkproxy/engine/LineLog.java
+++ b/src/main/java/corkproxy/engine/LineLog.java
@@ -1,19 +1,27 @@
 package corkproxy.engine;
 
 import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.util.function.Consumer;
 
-/** Lines, written by whoever tells them, who waits for the stream: the platform's log, and that of tests. */
+/** Lines of text, so many a second at most: the platform's log, and that of tests. */
 public final class LineLog implements Log {
   private static final int MAX_PER_SECOND = 50;
 
-  private final PrintStream out;
+  private final Consumer<String> out;
   private final boolean details;
   private long second;
   private int written;
   private long dropped;
 
-  /** {@code details} tells whether requests and attempts have lines. */
+  /** Whoever logs waits for the stream. {@code details} tells whether requests and attempts have lines. */
   public LineLog(PrintStream out, boolean details) {
+    this(out::print, details);
+  }
+
+  /** {@code out} gets whole lines with their ends, one call after the other. */
+  public LineLog(Consumer<String> out, boolean details) {
     this.out = out;
     this.details = details;
   }
@@ -32,7 +40,7 @@
           s.append(' ').append(fields[i]).append('=').append(fields[i + 1]);
         }
       }
-      out.println(s.toString().replace('\n', ' ').replace('\r', ' '));
+      line(s.toString().replace('\n', ' ').replace('\r', ' '), "");
     }
   }
 
@@ -46,17 +54,22 @@
   @Override
   public synchronized void failure(String what, Throwable t) {
     if (admits()) {
-      out.println("corkproxy: " + what);
-      t.printStackTrace(out);
+      StringWriter stack = new StringWriter();
+      t.printStackTrace(new PrintWriter(stack, true));
+      line("corkproxy: " + what, stack.toString());
     }
   }
 
+  private void line(String text, String below) {
+    out.accept(text + System.lineSeparator() + below);
+  }
+
   // Guards against a log that outgrows the machine when every request has something to say.
   private boolean admits() {
     long now = System.nanoTime() / 1_000_000_000L;
     if (now != second) {
       if (dropped > 0) {
-        out.println("corkproxy: " + dropped + " lines left out");
+        line("corkproxy: " + dropped + " lines left out", "");
       }
       second = now;
       written = 0;
--- a/src/main/java/corkproxy/engine/RetryingSocketChannel.java
+++ b/src/main/java/corkproxy/engine/RetryingSocketChannel.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
@@ -25,6 +26,7 @@
   private static final int END_OF_STREAM = -1;
 
   private static final int READ_TRIES = 4;
+  private static final int CONNECT_TRIES = 8;
 
   /** A failure that lasts so long (ns) is the connection's end. */
   private static final long LASTING_NANOS = 50_000_000;
@@ -100,6 +102,17 @@
         });
   }
 
+  /** poll(2), by which the JDK asks whether a connection is up, may be interrupted as well: netty takes that for a failure. */
+  @Override
+  protected void doFinishConnect() throws Exception {
+    for (int i = 0; i < CONNECT_TRIES; i++) {
+      if (javaChannel().finishConnect()) {
+        return;
+      }
+    }
+    throw new ConnectException("interrupted " + CONNECT_TRIES + " times");
+  }
+
   @Override
   protected void doWrite(ChannelOutboundBuffer pending) throws Exception {
     try {
--- a/src/main/java/corkproxy/engine/Upstreams.java
+++ b/src/main/java/corkproxy/engine/Upstreams.java
@@ -45,6 +45,9 @@
   /** Requests that a connection carries before it goes to another worker that waits for a place. */
   private static final int TURN = 16;
 
+  /** How the JDK words a reset of a connection that comes up. */
+  private static final String RESET = "Connection reset";
+
   /** Of attempts that got no socket on this machine one in so many has a line in the log. */
   private static final int REFUSALS_LOGGED = 100;
 
@@ -337,10 +340,14 @@
 
   /**
    * Whether a connection did not come up for want of something of this machine's (ports, buffers, a network): EADDRNOTAVAIL is
-   * a {@link BindException} to the JDK, ENETUNREACH and ENOBUFS are plain. Guards against a host that pays for it.
+   * a {@link BindException} to the JDK, ENETUNREACH and ENOBUFS are plain. Guards against a host that pays for it; one that
+   * refuses, resets or can't be reached had its part in it.
    */
   private static boolean ownFault(Throwable cause) {
-    boolean aboutHost = cause instanceof ConnectException || cause instanceof NoRouteToHostException;
+    boolean aboutHost =
+        cause instanceof ConnectException
+            || cause instanceof NoRouteToHostException
+            || String.valueOf(cause.getMessage()).startsWith(RESET);
     return cause instanceof SocketException && !aboutHost;
   }
 
--- a/src/main/java/corkproxy/proxy/Peers.java
+++ b/src/main/java/corkproxy/proxy/Peers.java
@@ -12,6 +12,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.util.concurrent.TimeUnit;
 import java.util.function.ObjIntConsumer;
 
 /**
@@ -22,10 +23,13 @@
   /** The platform's bound on a datagram (bytes). */
   private static final int MOST = 256;
 
+  private static final long RESTART_MS = 500;
+
   private final PeerAddresses addresses;
   private final ObjIntConsumer<byte[]> heard;
   private final Log log;
   private Channel channel;
+  private boolean failed;
 
   /** {@code heard} gets each message with its sender's number. */
   Peers(PeerAddresses addresses, ObjIntConsumer<byte[]> heard, Log log) {
@@ -34,7 +38,7 @@
     this.log = log;
   }
 
-  /** Listens. A port that can't be had is one line in the log: the proxy works without its peers. */
+  /** Listens. A port that can't be had is one line in the log, and tried again: the proxy works without its peers. */
   void start(EventLoop loop) {
     new Bootstrap()
         .group(loop)
@@ -45,11 +49,21 @@
         .addListener(
             f -> {
               if (!f.isSuccess()) {
-                log.line("peers can't be heard at " + addresses.listen() + ": " + f.cause().getMessage());
+                if (!failed) {
+                  log.line("peers can't be heard at " + addresses.listen() + ": " + f.cause().getMessage());
+                }
+                failed = true;
+                startLater(loop);
               }
             });
   }
 
+  private void startLater(EventLoop loop) {
+    if (!loop.isShuttingDown()) {
+      loop.schedule(() -> start(loop), RESTART_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
   /** Sends a message to every other client proxy. */
   void tell(byte[] message) {
     if (channel != null) {
@@ -60,6 +74,19 @@
   @Override
   public void channelActive(ChannelHandlerContext context) {
     channel = context.channel();
+    failed = false;
+  }
+
+  /** A socket that a read error has closed is opened anew: netty closes it for any that it does not know. */
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    channel = null;
+    startLater(context.channel().eventLoop());
+  }
+
+  @Override
+  public boolean isSharable() {
+    return true; // it is added to one socket after the other
   }
 
   @Override
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -1,6 +1,7 @@
 package corkproxy.proxy;
 
 import corkproxy.balancer.Settings;
+import corkproxy.engine.BackgroundWriter;
 import corkproxy.engine.BodyBudget;
 import corkproxy.engine.Dispatcher;
 import corkproxy.engine.LineLog;
@@ -13,11 +14,11 @@
 import corkproxy.http.Front;
 import corkproxy.http.FrontSettings;
 import corkproxy.http.HttpProtocol;
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Future;
-import java.net.BindException;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.net.InetSocketAddress;
@@ -55,6 +56,14 @@
 
   private static final long POLL_MS = 10;
 
+  /** For how long (ms) the clients' address is tried, and how often. */
+  private static final long LISTEN_TRIES_MS = 1_000;
+
+  private static final long LISTEN_RETRY_MS = 20;
+
+  /** How long (ms) the end waits for the last lines of the log to be written. */
+  private static final long LAST_LINES_MS = 50;
+
   /** How often (ms) two processes tell each other what they hold. */
   private static final long COMPARE_MS = 20;
 
@@ -166,7 +175,8 @@
    */
   public static void run(Map<String, String> env) throws ConfigException {
     InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE); // or netty loads the daemon's log
-    Log log = new LineLog(System.err, "1".equals(env.get(LOG_DETAILS)));
+    BackgroundWriter writer = new BackgroundWriter(System.err);
+    Log log = new LineLog(writer::write, "1".equals(env.get(LOG_DETAILS)));
     Config config = Config.load(env);
     Generations generations = Generations.join(env.get("TMPDIR"));
     Operators operators = new Operators();
@@ -181,13 +191,13 @@
       p.watch(file);
     }
     // Ahead of the listener. Guards what is taken in the first moment: a SIGTERM with no hook ends the process at once.
-    Runtime.getRuntime().addShutdownHook(new Thread(p::end, "drain"));
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> p.end(writer), "drain"));
     p.start();
     p.awaitEnd();
   }
 
   /** Carries out SIGTERM. An exit by it is status 143 to the JVM, and a drain that is done is a success. */
-  private void end() {
+  private void end(BackgroundWriter writer) {
     try {
       started.await();
     } catch (InterruptedException e) {
@@ -196,6 +206,7 @@
     if (listens) {
       drain();
       awaitEnd();
+      writer.flush(LAST_LINES_MS);
       Runtime.getRuntime().halt(0);
     }
   }
@@ -228,7 +239,7 @@
         peers.start(loop);
       }
       awaitList();
-      front.listen(group, config.listen());
+      listen();
       listens = true;
       loop.submit(this::compare).sync();
       operators.onChange(() -> loop.execute(this::followOperators));
@@ -236,7 +247,7 @@
       loop.submit(this::sweep).sync();
     } catch (Exception e) {
       group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
-      if (e instanceof BindException || e instanceof SocketException) {
+      if (e instanceof SocketException || e instanceof ChannelException) {
         throw new ConfigException("can't listen on " + config.listen() + ": " + e.getMessage());
       }
       throw new ConfigException("can't start: " + e);
@@ -246,6 +257,26 @@
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Listens, and tries again for a while where the system has no socket or buffer at the moment, or the address is not free
+   * yet. Guards a start against a shortage that passes: a process that ends there is a crash.
+   */
+  private void listen() throws Exception {
+    long until = System.nanoTime() + LISTEN_TRIES_MS * 1_000_000;
+    while (true) {
+      try {
+        front.listen(group, config.listen());
+        return;
+      } catch (Exception e) {
+        boolean passes = e instanceof SocketException || e instanceof ChannelException;
+        if (!passes || System.nanoTime() > until) {
+          throw e;
+        }
+        Thread.sleep(LISTEN_RETRY_MS);
+      }
+    }
+  }
+
   /**
    * Waits for discovery's list. Guards against a new process that goes by the old list of its configuration: what discovery
    * has counts as told from its first moment, so a host that drains already has no grace left. Where discovery is down it
--- /dev/null
+++ b/src/test/java/corkproxy/engine/BackgroundWriterTest.java
@@ -0,0 +1,60 @@
+package corkproxy.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+class BackgroundWriterTest {
+  private static final int TEXTS = 5_000;
+
+  private final CountDownLatch read = new CountDownLatch(1);
+  private final ByteArrayOutputStream arrived = new ByteArrayOutputStream();
+
+  /** A pipe that nobody reads until told. */
+  private final OutputStream pipe =
+      new OutputStream() {
+        @Override
+        public synchronized void write(int b) {
+          write(new byte[] {(byte) b}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] bytes, int from, int count) {
+          try {
+            read.await();
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+          arrived.write(bytes, from, count);
+        }
+      };
+
+  @Test
+  @Timeout(value = 20, unit = TimeUnit.SECONDS, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+  void whoeverLogsDoesNotWaitForAReaderThatHasStopped() {
+    BackgroundWriter writer = new BackgroundWriter(new PrintStream(pipe));
+    for (int i = 0; i < TEXTS; i++) {
+      writer.write("line\n");
+    }
+    read.countDown();
+    writer.flush(10_000);
+    assertThat(arrived.toString()).containsPattern("corkproxy: [0-9]+ texts of the log were dropped");
+    assertThat(arrived.toString().lines().count()).isLessThan(TEXTS / 2);
+  }
+
+  @Test
+  void whatIsQueuedIsWrittenInOrderByAFlush() {
+    read.countDown();
+    BackgroundWriter writer = new BackgroundWriter(new PrintStream(pipe));
+    writer.write("one\n");
+    writer.write("two\n");
+    writer.flush(10_000);
+    assertThat(arrived.toString()).isEqualTo("one\ntwo\n");
+  }
+}
--- /dev/null
+++ b/src/test/java/corkproxy/proxy/StartTest.java
@@ -0,0 +1,54 @@
+package corkproxy.proxy;
+
+import static corkproxy.proxy.World.claim;
+import static corkproxy.proxy.World.ok;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A start that finds something missing for a moment. */
+class StartTest {
+  private static final long HELD_MS = 300;
+
+  @TempDir Path folder;
+  private World world;
+
+  @BeforeEach
+  void open() {
+    world = new World(folder, 128);
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    world.close();
+  }
+
+  @Test
+  void anAddressThatIsNotFreeYetIsListenedOnOnceItIs() throws Exception {
+    ServerSocket holder = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    world.listen = holder.getLocalPort();
+    CompletableFuture<Void> released =
+        CompletableFuture.runAsync(() -> close(holder), CompletableFuture.delayedExecutor(HELD_MS, TimeUnit.MILLISECONDS));
+    world.start(world.new Host(head -> ok("served")));
+    released.join();
+    assertThat(world.ask(claim("first"))).endsWith("served");
+  }
+
+  private static void close(ServerSocket holder) {
+    try {
+      holder.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- a/src/test/java/corkproxy/soak/FakeDiscovery.java
+++ b/src/test/java/corkproxy/soak/FakeDiscovery.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
@@ -27,6 +28,7 @@
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
   private final Map<String, String> entries = new LinkedHashMap<>();
   private final TreeMap<Long, String> changes = new TreeMap<>();
+  private final Map<String, Long> lastChange = new HashMap<>();
   private final Map<String, Long> draining = new ConcurrentHashMap<>();
   private long version = 40;
   private volatile boolean silent;
@@ -47,6 +49,10 @@
   synchronized void set(FakeUpstream upstream, String state) {
     version++;
     String entry = upstream.entry(state);
+    Long before = lastChange.put(upstream.name(), version);
+    if (before != null) {
+      changes.remove(before); // a list names each server once
+    }
     changes.put(version, entry);
     if (state.equals("removed")) {
       entries.remove(upstream.name());
--- a/src/test/java/corkproxy/soak/FakeUpstream.java
+++ b/src/test/java/corkproxy/soak/FakeUpstream.java
@@ -106,7 +106,8 @@
       write(socket, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
       return true;
     }
-    history.add(new AttemptRecord(id, name, begunAt, System.nanoTime(), now != Behaviour.TURN_AWAY));
+    String told = request.header("x-timeout-ms");
+    history.add(new AttemptRecord(id, name, begunAt, System.nanoTime(), told == null ? 0 : Long.parseLong(told), now != Behaviour.TURN_AWAY));
     if (now == Behaviour.HANG) {
       return true;
     }
--- a/src/test/java/corkproxy/soak/FaultMatrix.java
+++ b/src/test/java/corkproxy/soak/FaultMatrix.java
@@ -30,6 +30,7 @@
     add(cases, "write", "upstream", SoakPlan.FATAL_FAULTS, oneIn);
     add(cases, "connect", "upstream", SoakPlan.CONNECT_FAULTS, oneIn);
     add(cases, "socket", "any", List.of("EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"), oneIn);
+    add(cases, "poll", "upstream", List.of("EINTR"), oneIn);
     add(cases, "epoll_wait", "any", List.of("EINTR"), oneIn);
     Path folder = Files.createTempDirectory("matrix");
     Path library = PreloadLibrary.build(folder).orElseThrow();
--- a/src/test/java/corkproxy/soak/SoakJudge.java
+++ b/src/test/java/corkproxy/soak/SoakJudge.java
@@ -16,6 +16,8 @@
     LOST,
     DUPLICATE,
     DRAIN,
+    /** A server was told of more time than its client had left. */
+    DEADLINE,
     CRASH
   }
 
@@ -28,6 +30,9 @@
   /** An attempt may begin so long (ms) after its client has closed the connection. */
   private static final long LEAVER_MS = 100;
 
+  /** A server may be told so much more time (ms) than its client has left. */
+  private static final long TOLD_MS = 150;
+
   private final SoakHistory history;
   private final long graceMs;
   private final long slackMs;
@@ -85,6 +90,10 @@
     for (AttemptRecord attempt : attemptsOf(request)) {
       ran += attempt.ran() && attempt.completeAt() != 0 ? 1 : 0;
       judgeBegin(request, attempt, found);
+      long leftMs = request.deadlineMs() - (attempt.begunAt() - request.sentAt()) / 1_000_000;
+      if (request.resentAt() == 0 && attempt.toldMs() > Math.max(0, leftMs) + TOLD_MS + slackMs) {
+        found.add(new Violation(Rule.DEADLINE, request.id(), "told " + attempt.toldMs() + " ms, and " + leftMs + " were left"));
+      }
       long drain = history.drainNotice(request.proxy(), attempt.server());
       if (attempt.begunAt() - drain > (graceMs + slackMs) * 1_000_000) {
         found.add(new Violation(Rule.DRAIN, request.id(), "sent to " + attempt.server() + " "
--- a/src/test/java/corkproxy/soak/SoakJudgeTest.java
+++ b/src/test/java/corkproxy/soak/SoakJudgeTest.java
@@ -39,7 +39,11 @@
   }
 
   private void attempt(double begunAfter, boolean ran) {
-    history.add(new AttemptRecord("r", "s0", SECOND + nanos(begunAfter), SECOND + nanos(begunAfter), ran));
+    attempt(begunAfter, 1, ran);
+  }
+
+  private void attempt(double begunAfter, long toldMs, boolean ran) {
+    history.add(new AttemptRecord("r", "s0", SECOND + nanos(begunAfter), SECOND + nanos(begunAfter), toldMs, ran));
   }
 
   @Test
@@ -118,6 +122,13 @@
     assertThat(broken()).containsExactly(Rule.DRAIN);
   }
 
+  @Test
+  void aServerThatIsToldMoreTimeThanIsLeftBreaksTheDeadline() {
+    request(Outcome.SERVED, 0.7, 0, 0, "200");
+    attempt(0.6, DEADLINE_MS, true);
+    assertThat(broken()).containsExactly(Rule.DEADLINE);
+  }
+
   /** Plays a run of the real process; the broken rules. */
   private List<Rule> played(SoakPlan plan, boolean needsLibrary) throws Exception {
     Path library = null;
--- a/src/test/java/corkproxy/soak/SoakPlan.java
+++ b/src/test/java/corkproxy/soak/SoakPlan.java
@@ -133,7 +133,9 @@
 
   private static SystemCallFault fault(Random random) {
     int oneIn = 3 + random.nextInt(60);
-    return switch (random.nextInt(8)) {
+    return switch (random.nextInt(10)) {
+      case 8 -> SystemCallFault.always("poll", "upstream", "EINTR", oneIn);
+      case 9 -> SystemCallFault.always("read", "discovery", any(random, both(TRANSIENT_READ_FAULTS)), oneIn);
       case 0, 1 -> SystemCallFault.always("accept", "listener", any(random, ACCEPT_FAULTS), oneIn);
       case 2 -> SystemCallFault.always("connect", "upstream", any(random, CONNECT_FAULTS), oneIn);
       case 3 -> SystemCallFault.always("read", "client", any(random, TRANSIENT_READ_FAULTS), oneIn);
--- a/src/test/java/corkproxy/soak/SystemCallFault.java
+++ b/src/test/java/corkproxy/soak/SystemCallFault.java
@@ -3,7 +3,7 @@
 /**
  * One rule of the preload library: calls of a kind on sockets of a role fail in one way, one in so many.
  *
- * @param call of the kernel: accept, socket, connect, read, write, epoll_wait
+ * @param call of the kernel: accept, socket, connect, read, write, poll, epoll_wait
  * @param role of the socket: listener, client, upstream, discovery, any
  * @param fault name of the errno, or SHORT for a transfer of one byte
  * @param oneIn mean number of calls between two faults
--- a/src/test/java/corkproxy/soak/SystemCallFaultsTest.java
+++ b/src/test/java/corkproxy/soak/SystemCallFaultsTest.java
@@ -58,4 +58,25 @@
   void transientFailuresOfWriteOnClientConnectionsLoseNoRequest() throws Exception {
     everyRequestIsAnswered("write", "client", SoakPlan.TRANSIENT_WRITE_FAULTS, 10);
   }
+
+  @Test
+  void failuresOfConnectLoseNoRequest() throws Exception {
+    everyRequestIsAnswered("connect", "upstream", SoakPlan.CONNECT_FAULTS, 2);
+  }
+
+  @Test
+  void interruptedPollsOfConnectionsThatComeUpLoseNoRequest() throws Exception {
+    everyRequestIsAnswered("poll", "upstream", List.of("EINTR"), 2);
+  }
+
+  @Test
+  void failuresOfReadOnConnectionsToServersLoseNoRequest() throws Exception {
+    everyRequestIsAnswered("read", "upstream", allReadFaults(), 10);
+  }
+
+  private static List<String> allReadFaults() {
+    List<String> all = new ArrayList<>(SoakPlan.TRANSIENT_READ_FAULTS);
+    all.addAll(SoakPlan.FATAL_FAULTS);
+    return all;
+  }
 }
--- a/src/test/native/syscall_faults.c
+++ b/src/test/native/syscall_faults.c
@@ -3,7 +3,7 @@
  *
  * Environment:
  *   SYSCALL_FAULTS      rules separated by ';', each "call role fault one_in [from_ms to_ms]"
- *                         call    accept, socket, connect, read, write, epoll_wait
+ *                         call    accept, socket, connect, read, write, poll, epoll_wait
  *                         role    listener, client (accepted), upstream (connected), discovery, any
  *                         fault   an errno name of the table below, or SHORT (one byte at most)
  *                         one_in  mean distance between two faults in calls; 1 is each call
@@ -19,6 +19,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdatomic.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -286,6 +287,15 @@
   return next(fd, parts, count);
 }
 
+int poll(struct pollfd *sockets, nfds_t count, int timeout) {
+  NEXT(poll)
+  enum role role = count > 0 ? role_of(sockets[0].fd) : NONE;
+  if (role != NONE) {
+    FAIL_OR("poll", role)
+  }
+  return next(sockets, count, timeout);
+}
+
 int epoll_wait(int epfd, struct epoll_event *events, int most, int timeout) {
   NEXT(epoll_wait)
   FAIL_OR("epoll_wait", ANY)
