--- a/src/test/java/corkproxy/soak/FakeUpstream.java
+++ b/src/test/java/corkproxy/soak/FakeUpstream.java
@@ -57,13 +57,17 @@
     return name;
   }
 
+  String address() {
+    return "127.0.0.1:" + listener.getLocalPort();
+  }
+
   void behave(Behaviour next) {
     behaviour = next;
   }
 
   /** Its entry in a list of the discovery's, in this state. */
   String entry(String state) {
-    return "{\"id\":\"" + name + "\",\"addr\":\"127.0.0.1:" + listener.getLocalPort()
+    return "{\"id\":\"" + name + "\",\"addr\":\"" + address()
         + "\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":1,\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":" + startedUnixMs + "}";
   }
 
--- a/src/test/java/corkproxy/soak/ProxyProcess.java
+++ b/src/test/java/corkproxy/soak/ProxyProcess.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
-/** The platform's process as the deploy file runs it, from the classes under test; ended by its id. */
+/** The platform's process as the deploy file runs it, or a daemon, from the classes under test; ended by its id. */
 final class ProxyProcess {
   private static final long START_MS = 30_000;
   private static final int CONNECT_MS = 500;
@@ -22,19 +22,37 @@
     static final Faults NONE = new Faults(null, List.of(), 0, null);
   }
 
+  /** How a kind of process is started, and which answer to {@code GET /_health} tells that it can serve. */
+  private record Kind(List<String> options, List<String> arguments, String healthy) {}
+
+  private final Kind kind;
   private final Path configuration;
   private final Path folder;
   private final int port;
   private final int discoveryPort;
   private Process process;
 
-  ProxyProcess(Path configuration, Path folder, int port, int discoveryPort) {
+  private ProxyProcess(Kind kind, Path configuration, Path folder, int port, int discoveryPort) {
+    this.kind = kind;
     this.configuration = configuration;
     this.folder = folder;
     this.port = port;
     this.discoveryPort = discoveryPort;
   }
 
+  /** The platform's process, with the options of the deploy folder: the limits of memory are the platform's. */
+  static ProxyProcess platform(Path configuration, Path folder, int port, int discoveryPort) throws IOException {
+    List<String> options =
+        Files.readAllLines(Path.of("deploy/proxy.jvm")).stream().filter(line -> line.startsWith("-")).toList();
+    return new ProxyProcess(new Kind(options, List.of("proxy"), "HTTP/1.1 200"), configuration, folder, port, discoveryPort);
+  }
+
+  /** A daemon with this operator's file, which answers whatever it has no route for. */
+  static ProxyProcess daemon(Path operatorFile, Path folder, int port) {
+    List<String> arguments = List.of("daemon", "--config", operatorFile.toString());
+    return new ProxyProcess(new Kind(List.of("-Xmx128m"), arguments, "HTTP/1.1 "), operatorFile, folder, port, 0);
+  }
+
   int port() {
     return port;
   }
@@ -51,8 +69,9 @@
   void start(Faults faults) throws IOException, InterruptedException {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(virtualMachineOptions());
-    command.addAll(List.of("-cp", System.getProperty("java.class.path"), "corkproxy.Main", "proxy"));
+    command.addAll(kind.options());
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), "corkproxy.Main"));
+    command.addAll(kind.arguments());
     ProcessBuilder builder = new ProcessBuilder(command);
     builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
     Path own = Files.createDirectories(folder.resolve("tmp"));
@@ -72,11 +91,6 @@
     awaitReady();
   }
 
-  /** The options of the deploy folder: the limits of memory are the platform's. */
-  private static List<String> virtualMachineOptions() throws IOException {
-    return Files.readAllLines(Path.of("deploy/proxy.jvm")).stream().filter(line -> line.startsWith("-")).toList();
-  }
-
   private void awaitReady() throws InterruptedException, IOException {
     long until = System.nanoTime() + START_MS * 1_000_000;
     while (!ready()) {
@@ -92,7 +106,7 @@
       socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CONNECT_MS);
       socket.setSoTimeout(CONNECT_MS);
       socket.getOutputStream().write("GET /_health HTTP/1.1\r\nHost: p\r\nConnection: close\r\n\r\n".getBytes());
-      return new String(socket.getInputStream().readNBytes(12)).equals("HTTP/1.1 200");
+      return new String(socket.getInputStream().readNBytes(12)).startsWith(kind.healthy());
     } catch (IOException e) {
       return false;
     }
--- a/src/test/java/corkproxy/soak/SoakRun.java
+++ b/src/test/java/corkproxy/soak/SoakRun.java
@@ -63,7 +63,7 @@
       Path own = Files.createDirectories(folder.resolve("proxy" + index));
       int port = freePort();
       Path configuration = Files.writeString(own.resolve("config.json"), configuration(port, discovery));
-      this.process = new ProxyProcess(configuration, own, port, discovery.port());
+      this.process = ProxyProcess.platform(configuration, own, port, discovery.port());
     }
 
     void start() throws IOException, InterruptedException {
@@ -102,7 +102,7 @@
     }
   }
 
-  private static int freePort() throws IOException {
+  static int freePort() throws IOException {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       return socket.getLocalPort();
     }
