--- a/src/main/java/corkproxy/engine/AcceptBackoff.java
+++ b/src/main/java/corkproxy/engine/AcceptBackoff.java
@@ -25,7 +25,10 @@
   private long nextWaitMs = FIRST_WAIT_MS;
   private long failures;
 
-  /** {@code log} gets a line now and then; {@code resume} lets the listener accept again: it runs on the listener's loop, and only while it is open. */
+  /**
+   * {@code log} gets a line now and then; {@code resume} lets the listener accept again: it runs on the listener's loop, and only
+   * while it is open.
+   */
   public AcceptBackoff(Consumer<String> log, Runnable resume) {
     this.log = log;
     this.resume = resume;
--- a/src/main/java/corkproxy/engine/Upstreams.java
+++ b/src/main/java/corkproxy/engine/Upstreams.java
@@ -39,9 +39,6 @@
   /** How long (ns) a host that was seen to send surplus bytes is remembered. */
   private static final long SURPLUS_NANOS = 600_000_000_000L;
 
-  /** The longest rest (ns) after an answer: that by which each time limit is longer, as bytes on their way may be late. */
-  private static final long REST_MOST_NANOS = 50_000_000L;
-
   /** Requests that a connection carries before it goes to another worker that waits for a place. */
   private static final int TURN = 16;
 
@@ -286,12 +283,12 @@
   /**
    * Bytes that belong to no answer came so long (ns) after one. Guards against a second answer that is later than the rest: on a
    * connection in use again it would be taken for the next one's, and nothing in it says whose it is. Where it was late once,
-   * all connections rest for twice as long, in bounds.
+   * all connections rest for twice as long, SocketSlack at most.
    */
   void surplus(long after) {
     long now = System.nanoTime();
     long known = now - surplusAt < SURPLUS_NANOS ? surplusAfter : 0;
-    surplusAfter = Math.max(known, Math.min(2 * after, REST_MOST_NANOS));
+    surplusAfter = Math.max(known, Math.min(2 * after, SocketSlack.NANOS));
     surplusAt = now;
   }
 
--- a/src/main/java/corkproxy/http/ClientConnection.java
+++ b/src/main/java/corkproxy/http/ClientConnection.java
@@ -1,6 +1,6 @@
 package corkproxy.http;
 
-import corkproxy.engine.Exchange;
+import corkproxy.engine.SocketSlack;
 import corkproxy.engine.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
@@ -28,9 +28,6 @@
 
   private static final long PARTIAL_NANOS = 500_000_000L;
 
-  /** By how much (ns) each time limit is longer on sockets, by the protocol. */
-  private static final long SLACK_NANOS = 50_000_000L;
-
   /** How long (ms) the end of a rejected message is awaited, so that its client sees its answer. */
   private static final long LINGER_MS = 500;
 
@@ -47,6 +44,7 @@
   private final RequestDecoder decoder;
   private final AnswerWriter answers;
   private final RequestIntake intake;
+  private final RequestLog log;
   private final long openedAt = System.nanoTime();
   private final long letInAt;
   private final long slowNanos;
@@ -69,6 +67,7 @@
     this.letInAt = letInAt;
     this.channel = channel;
     this.decoder = decoder;
+    this.log = new RequestLog(front.log(), channel);
     this.answers = new AnswerWriter(this, front, channel);
     this.intake = new RequestIntake(this, front, channel, decoder, answers);
     this.slowNanos = front.settings().slowMs() * 1_000_000L;
@@ -101,8 +100,8 @@
       if (call != null) {
         call.exchange().abandon();
       }
-    } else if (front.log().details()) {
-      front.log().detail("client connection failed", "cause", cause.getMessage(), "id", requestId());
+    } else {
+      log.failed(cause, call);
     }
     channel.close();
   }
@@ -117,7 +116,7 @@
    */
   private long cameAt() {
     long earliest = decoder.firstLook() ? Math.min(Front.heard(), letInAt) : Math.max(Front.heard(), idleSince);
-    return Math.min(System.nanoTime(), earliest + SLACK_NANOS);
+    return Math.min(System.nanoTime(), earliest + SocketSlack.NANOS);
   }
 
   @Override
@@ -386,47 +385,14 @@
     Verdict v = intake.verdict();
     boolean health = v != null && v.status() == status && v.origin() == null && !v.closes();
     if (!health && !told) {
-      tell(
-          switch (status) {
-            case 429 -> "limited";
-            case 502 -> "failed";
-            case 503 -> "refused";
-            case 504 -> "timed-out";
-            default -> "turned-away";
-          },
-          status);
+      tell(RequestLog.outcome(status), status);
     }
   }
 
   /** Tells what became of the present request, where it was not served; {@code status} may be null. */
   void tell(String outcome, Integer status) {
-    if (!front.log().details()) {
-      return;
-    }
     Verdict v = intake.verdict();
-    Verdict.Origin o = v == null ? null : v.origin();
-    Exchange e = call == null ? null : call.exchange();
-    long since = v == null ? decoder.since() : intake.since();
-    front
-        .log()
-        .detail(
-            "request",
-            "outcome", outcome,
-            "status", status,
-            "route", o == null ? null : o.route(),
-            "class", o == null ? null : o.className(),
-            "limit", o == null ? null : o.limit(),
-            "pool", e == null ? null : e.pool(),
-            "server", e == null ? null : e.server(),
-            "attempt", e == null ? null : e.attempts(),
-            "ms", since == 0 ? null : (System.nanoTime() - since) / 1_000_000,
-            "client", channel.remoteAddress(),
-            "id", requestId());
-  }
-
-  /** The id of the request that it carries, or null. */
-  private String requestId() {
-    return call == null ? null : call.id();
+    log.request(outcome, status, call, v, v == null ? decoder.since() : intake.since());
   }
 
   // --- upkeep
@@ -458,9 +424,7 @@
 
   /** Closes it at once, for a reason that the log tells. */
   void close(CloseReason reason) {
-    if (front.log().details()) {
-      front.log().detail("client connection closed", "reason", reason, "id", requestId(), "client", channel.remoteAddress());
-    }
+    log.closed(reason, call);
     channel.close();
   }
 
--- /dev/null
+++ b/src/main/java/corkproxy/http/RequestLog.java
@@ -0,0 +1,74 @@
+package corkproxy.http;
+
+import corkproxy.engine.Exchange;
+import corkproxy.engine.Log;
+import io.netty.channel.Channel;
+
+/** The log's lines about one client connection and its requests; none where the log has no use for details. */
+final class RequestLog {
+  private final Log log;
+  private final Channel channel;
+
+  RequestLog(Log log, Channel channel) {
+    this.log = log;
+    this.channel = channel;
+  }
+
+  /** The word for a response of our own. */
+  static String outcome(int status) {
+    return switch (status) {
+      case 429 -> "limited";
+      case 502 -> "failed";
+      case 503 -> "refused";
+      case 504 -> "timed-out";
+      default -> "turned-away";
+    };
+  }
+
+  /**
+   * A request was not served.
+   *
+   * @param status what its client was told, or null
+   * @param call what the engine has of it, or null
+   * @param verdict of the gate, or null
+   * @param since when (ns) it came, 0 if that is not known
+   */
+  void request(String outcome, Integer status, HttpCall call, Verdict verdict, long since) {
+    if (!log.details()) {
+      return;
+    }
+    Verdict.Origin origin = verdict == null ? null : verdict.origin();
+    Exchange exchange = call == null ? null : call.exchange();
+    log.detail(
+        "request",
+        "outcome", outcome,
+        "status", status,
+        "route", origin == null ? null : origin.route(),
+        "class", origin == null ? null : origin.className(),
+        "limit", origin == null ? null : origin.limit(),
+        "pool", exchange == null ? null : exchange.pool(),
+        "server", exchange == null ? null : exchange.server(),
+        "attempt", exchange == null ? null : exchange.attempts(),
+        "ms", since == 0 ? null : (System.nanoTime() - since) / 1_000_000,
+        "client", channel.remoteAddress(),
+        "id", id(call));
+  }
+
+  /** This side closes the connection. */
+  void closed(CloseReason reason, HttpCall call) {
+    if (log.details()) {
+      log.detail("client connection closed", "reason", reason, "id", id(call), "client", channel.remoteAddress());
+    }
+  }
+
+  /** The connection broke. */
+  void failed(Throwable cause, HttpCall call) {
+    if (log.details()) {
+      log.detail("client connection failed", "cause", cause.getMessage(), "id", id(call));
+    }
+  }
+
+  private static String id(HttpCall call) {
+    return call == null ? null : call.id();
+  }
+}
--- a/src/main/java/corkproxy/proxy/Proxy.java
+++ b/src/main/java/corkproxy/proxy/Proxy.java
@@ -8,6 +8,7 @@
 import corkproxy.engine.Log;
 import corkproxy.engine.NioTransport;
 import corkproxy.engine.Signals;
+import corkproxy.engine.SocketSlack;
 import corkproxy.engine.Sockets;
 import corkproxy.engine.Transport;
 import corkproxy.engine.Upstreams;
@@ -42,9 +43,6 @@
   /** After SIGTERM new connections come for 0.4 s at most; they are accepted for longer (ms). */
   private static final long ACCEPT_MS = 800;
 
-  /** What crossed the close of its connection may take so long (ms) to come again: that by which each time limit is longer. */
-  private static final long CROSSED_MS = 50;
-
   /** SIGKILL comes no sooner than the longest deadline, of which no more than this (ms) counts, and 0.7 s. */
   private static final double LONGEST_MS = 3_000;
 
@@ -161,10 +159,14 @@
 
   /** Tells the other processes of this one, and asks about them: often while there are any. */
   private void compare() {
-    generations.tell(
-        new Generations.Standing(
-            listening(), sockets.clients(), sockets.upstreams(), budget.used()));
-    share(generations.others());
+    try {
+      generations.tell(
+          new Generations.Standing(
+              listening(), sockets.clients(), sockets.upstreams(), budget.used()));
+      share(generations.others());
+    } catch (RuntimeException e) {
+      log.failure("processes could not be compared", e); // the next time, then
+    }
     loop.schedule(this::compare, shared ? COMPARE_MS : SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -395,8 +397,7 @@
           giveUpAt = now + (long) ((longest + GIVE_UP_MS) * 1e6);
           drainUntil = now + (long) ((longest + LAST_MS) * 1e6);
           operators.serves(false);
-          Generations.Standing others = generations.others();
-          takenOver = others != null && others.listens();
+          takenOver = anotherListens();
           if (takenOver) {
             // The other process has the clients; whoever is still here leaves with its next answer.
             log.line("draining, another process listens");
@@ -412,14 +413,39 @@
         });
   }
 
+  /** Whether another process has the clients' address; no, where that can't be found out. */
+  private boolean anotherListens() {
+    try {
+      Generations.Standing others = generations.others();
+      return others != null && others.listens();
+    } catch (RuntimeException e) {
+      log.failure("other processes could not be looked for", e);
+      return false;
+    }
+  }
+
+  /** Guards against an end that never comes, as one step of it failed. */
   private void pollDrain() {
+    try {
+      stepOfDrain();
+    } catch (RuntimeException e) {
+      log.failure("a step of the drain failed", e);
+      if (System.nanoTime() < drainUntil) {
+        loop.schedule(this::pollDrain, POLL_MS, TimeUnit.MILLISECONDS);
+      } else {
+        ended.countDown();
+      }
+    }
+  }
+
+  private void stepOfDrain() {
     long now = System.nanoTime();
     if (now >= giveUpAt) {
       front.giveUp(); // of a class with a longer time than SIGKILL leaves, or one that a reload has dropped
     }
     if (!takenOver && now >= acceptUntil) {
       // Guards a request that crossed such a close: its client sends it once more, on a new connection.
-      acceptUntil = front.clear() ? Math.min(giveUpAt, now + CROSSED_MS * 1_000_000) : acceptUntil;
+      acceptUntil = front.clear() ? Math.min(giveUpAt, now + SocketSlack.NANOS) : acceptUntil;
       if (listening() && (front.empty() && now >= acceptUntil || now >= giveUpAt)) {
         front.leaveListening(); // whom it lets in is waited for, too
       }
--- a/src/test/java/corkproxy/soak/DaemonAcceptTest.java
+++ b/src/test/java/corkproxy/soak/DaemonAcceptTest.java
@@ -112,6 +112,6 @@
     for (String fault : SoakPlan.ACCEPT_FAULTS) {
       faults.add(SystemCallFault.always("accept", "listener", fault, ONE_IN * SoakPlan.ACCEPT_FAULTS.size()));
     }
-    daemon.start(new ProxyProcess.Faults(library, faults, 7, null));
+    daemon.start(new ProxyProcess.Faults(library, faults, 7, null, 0));
   }
 }
--- a/src/test/java/corkproxy/soak/FakeUpstream.java
+++ b/src/test/java/corkproxy/soak/FakeUpstream.java
@@ -111,7 +111,8 @@
       return true;
     }
     String told = request.header("x-timeout-ms");
-    history.add(new AttemptRecord(id, name, begunAt, System.nanoTime(), told == null ? 0 : Long.parseLong(told), now != Behaviour.TURN_AWAY));
+    long toldMs = told == null ? 0 : Long.parseLong(told);
+    history.add(new AttemptRecord(id, name, begunAt, System.nanoTime(), toldMs, now != Behaviour.TURN_AWAY));
     if (now == Behaviour.HANG) {
       return true;
     }
--- a/src/test/java/corkproxy/soak/ProxyProcess.java
+++ b/src/test/java/corkproxy/soak/ProxyProcess.java
@@ -17,10 +17,8 @@
   private static final long START_MS = 30_000;
   private static final int CONNECT_MS = 500;
 
-  /** What faults a process is started with; {@code library} is null for none. */
-  record Faults(Path library, List<SystemCallFault> rules, long seed, String clock) {
-    static final Faults NONE = new Faults(null, List.of(), 0, null);
-  }
+  /** What faults a process is started with; {@code library} is null for none, {@code descriptors} 0 for no limit. */
+  record Faults(Path library, List<SystemCallFault> rules, long seed, String clock, int descriptors) {}
 
   /** How a kind of process is started, and which answer to {@code GET /_health} tells that it can serve. */
   private record Kind(List<String> options, List<String> arguments, String healthy) {}
@@ -67,7 +65,7 @@
 
   /** Starts it and waits until it says that it can serve. */
   void start(Faults faults) throws IOException, InterruptedException {
-    List<String> command = new ArrayList<>();
+    List<String> command = new ArrayList<>(limited(faults.descriptors()));
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(kind.options());
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), "corkproxy.Main"));
@@ -91,6 +89,15 @@
     awaitReady();
   }
 
+  /** What goes ahead of a command that may hold so many descriptors; each entry of the class path takes one more here. */
+  private static List<String> limited(int descriptors) {
+    if (descriptors == 0) {
+      return List.of();
+    }
+    int entries = System.getProperty("java.class.path").split(java.io.File.pathSeparator).length;
+    return List.of("sh", "-c", "ulimit -n $0 && exec \"$@\"", Integer.toString(descriptors + entries));
+  }
+
   private void awaitReady() throws InterruptedException, IOException {
     long until = System.nanoTime() + START_MS * 1_000_000;
     while (!ready()) {
--- a/src/test/java/corkproxy/soak/SoakPlan.java
+++ b/src/test/java/corkproxy/soak/SoakPlan.java
@@ -38,7 +38,7 @@
 
   /** What happens during a run. */
   enum Kind {
-    /** SIGTERM, SIGKILL at the earliest, and a new process. */
+    /** SIGTERM, a further signal behind it by {@code value}, SIGKILL at the earliest, and a new process. */
     RESTART,
     /** SIGHUP. */
     RELOAD,
@@ -61,7 +61,9 @@
 
   /** Failures of accept(2) by its manual page: those of the connection that is passed over, and shortages. */
   static final List<String> ACCEPT_FAULTS =
-      List.of("EINTR", "ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO", "EPERM", "ENETDOWN", "EHOSTUNREACH", "ENETUNREACH");
+      List.of(
+          "EINTR", "ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO", "EPERM", "ENETDOWN", "EHOSTUNREACH",
+          "ENETUNREACH");
 
   /** Failures of connect(2) that are no death of a server. */
   static final List<String> CONNECT_FAULTS =
@@ -156,7 +158,7 @@
     long at = QUIET_START_MS + random.nextInt((int) (lengthMs - QUIET_START_MS));
     int target = random.nextInt(100);
     switch (random.nextInt(8)) {
-      case 0, 1 -> events.add(new Event(Math.min(at, lengthMs / 3), Kind.RESTART, target, 0));
+      case 0, 1 -> events.add(new Event(Math.min(at, lengthMs / 3), Kind.RESTART, target, random.nextInt(4)));
       case 2 -> events.add(new Event(at, Kind.RELOAD, target, 0));
       case 3 -> events.add(new Event(at, Kind.STOP, target, 10 + random.nextInt(140)));
       case 4, 5 -> {
--- a/src/test/java/corkproxy/soak/SoakRun.java
+++ b/src/test/java/corkproxy/soak/SoakRun.java
@@ -30,6 +30,11 @@
   private static final long LONGEST_MS = 3_000;
   private static final long TAIL_MS = 1_500;
 
+  /** Signals in series follow each other so soon (ms), and a stop among them lasts so long. */
+  private static final long SERIES_MS = 30;
+
+  private static final long STOP_MS = 100;
+
   private final SoakPlan plan;
   private final Path folder;
   private final Path library;
@@ -68,7 +73,7 @@
 
     void start() throws IOException, InterruptedException {
       long seed = plan.seed() * 31 + index;
-      process.start(new ProxyProcess.Faults(library, plan.systemCallFaults(), seed, plan.clockStep()));
+      process.start(new ProxyProcess.Faults(library, plan.systemCallFaults(), seed, plan.clockStep(), plan.descriptors()));
       accepts = true;
       ready = true;
     }
@@ -185,7 +190,7 @@
   private void perform(SoakPlan.Event event) throws Exception {
     Node node = nodes.get(event.target() % nodes.size());
     switch (event.kind()) {
-      case RESTART -> threads.execute(() -> restart(node));
+      case RESTART -> threads.execute(() -> restart(node, event.value()));
       case RELOAD -> {
         if (node.ready) {
           node.process.signal("HUP"); // never before it is ready, by the protocol page
@@ -221,9 +226,9 @@
 
   /**
    * SIGTERM, SIGKILL at the earliest that the page allows, and the next process at the same address. One restart of a proxy
-   * follows the other.
+   * follows the other. {@code further} is a signal behind the first: 1 SIGTERM again, 2 SIGHUP, 3 a stop of 0.1 s.
    */
-  private void restart(Node node) {
+  private void restart(Node node, long further) {
     node.restarts.lock();
     try {
       if (!running) {
@@ -232,8 +237,18 @@
       SoakClient.Habits habits = plan.habits();
       long longest = Math.min(LONGEST_MS, Math.max(habits.unsafeDeadlineMs(), habits.keyedDeadlineMs()));
       long killAt = System.nanoTime() + (longest + KILL_MARGIN_MS) * 1_000_000;
+      long newUntil = System.nanoTime() + NEW_CONNECTIONS_MS * 1_000_000;
       node.process.signal("TERM");
-      Thread.sleep(NEW_CONNECTIONS_MS);
+      Thread.sleep(SERIES_MS);
+      switch ((int) further) {
+        case 1 -> node.process.signal("TERM");
+        case 2 -> node.process.signal("HUP");
+        case 3 -> pause(node, STOP_MS);
+        default -> {
+          // no further one
+        }
+      }
+      sleepUntil(newUntil);
       node.accepts = false;
       boolean ended = node.process.endsWithin((killAt - System.nanoTime()) / 1_000_000);
       node.ready = false;
@@ -243,10 +258,10 @@
       node.process.kill();
       node.process.endsWithin(LONGEST_MS);
       node.start();
-    } catch (IOException e) {
-      history.crashed("restart of proxy " + node.index + ": " + e.getMessage());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+    } catch (Exception e) {
+      history.crashed("restart of proxy " + node.index + ": " + e.getMessage());
     } finally {
       node.restarts.unlock();
     }
