--- a/src/main/java/corkproxy/daemon/Daemon.java
+++ b/src/main/java/corkproxy/daemon/Daemon.java
@@ -296,7 +296,7 @@
             new ChannelInitializer<ServerChannel>() {
               @Override
               protected void initChannel(ServerChannel listener) {
-                listener.pipeline().addLast(AcceptBackoff.of(listener, log.with("listener", l.name())::line));
+                listener.pipeline().addLast(new AcceptBackoff(log.with("listener", l.name())::line));
               }
             })
         .childOption(ChannelOption.TCP_NODELAY, true)
--- a/src/main/java/corkproxy/engine/AcceptBackoff.java
+++ b/src/main/java/corkproxy/engine/AcceptBackoff.java
@@ -21,22 +21,19 @@
   private static final int LOGGED_EACH = 100;
 
   private final Consumer<String> log;
-  private final Runnable resume;
+  private final Runnable resumed;
   private long nextWaitMs = FIRST_WAIT_MS;
   private long failures;
 
-  /**
-   * {@code log} gets a line now and then; {@code resume} lets the listener accept again: it runs on the listener's loop, and only
-   * while it is open.
-   */
-  public AcceptBackoff(Consumer<String> log, Runnable resume) {
+  /** {@code log} gets a line now and then; {@code resumed} runs on the listener's loop each time that it accepts again. */
+  public AcceptBackoff(Consumer<String> log, Runnable resumed) {
     this.log = log;
-    this.resume = resume;
+    this.resumed = resumed;
   }
 
   /** One whose listener accepts whenever it can. */
-  public static AcceptBackoff of(Channel listener, Consumer<String> log) {
-    return new AcceptBackoff(log, () -> listener.config().setAutoRead(true));
+  public AcceptBackoff(Consumer<String> log) {
+    this(log, () -> {});
   }
 
   @Override
@@ -61,7 +58,8 @@
         .schedule(
             () -> {
               if (listener.isOpen()) {
-                resume.run();
+                listener.config().setAutoRead(true);
+                resumed.run();
               }
             },
             nextWaitMs,
--- a/src/main/java/corkproxy/engine/Upstreams.java
+++ b/src/main/java/corkproxy/engine/Upstreams.java
@@ -8,11 +8,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
-import java.net.BindException;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
-import java.net.NoRouteToHostException;
-import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -42,9 +38,6 @@
   /** Requests that a connection carries before it goes to another worker that waits for a place. */
   private static final int TURN = 16;
 
-  /** How the JDK words a reset of a connection that comes up. */
-  private static final String RESET = "Connection reset";
-
   /** Of attempts that got no socket on this machine one in so many has a line in the log. */
   private static final int REFUSALS_LOGGED = 100;
 
@@ -324,7 +317,7 @@
         x -> {
           if (!host.connecting.remove(call)) {
             channel.close(); // given up meanwhile
-          } else if (f.cause() != null && ownFault(f.cause())) {
+          } else if (f.cause() != null && ConnectFailure.isLocal(f.cause())) {
             connectFailed(f.cause());
             call.moot();
           } else if (!f.isSuccess()) {
@@ -335,19 +328,6 @@
         });
   }
 
-  /**
-   * Whether a connection did not come up for want of something of this machine's (ports, buffers, a network): EADDRNOTAVAIL is
-   * a {@link BindException} to the JDK, ENETUNREACH and ENOBUFS are plain. Guards against a host that pays for it; one that
-   * refuses, resets or can't be reached had its part in it.
-   */
-  private static boolean ownFault(Throwable cause) {
-    boolean aboutHost =
-        cause instanceof ConnectException
-            || cause instanceof NoRouteToHostException
-            || String.valueOf(cause.getMessage()).startsWith(RESET);
-    return cause instanceof SocketException && !aboutHost;
-  }
-
   private void connectFailed(Throwable cause) {
     if (refused++ % REFUSALS_LOGGED == 0) {
       log.line("no connection to be had here: " + cause.getMessage() + ", " + refused + " attempts had none");
--- a/src/main/java/corkproxy/http/Front.java
+++ b/src/main/java/corkproxy/http/Front.java
@@ -82,7 +82,7 @@
             .option(
                 ChannelOption.RECVBUF_ALLOCATOR,
                 new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
-            .handler(new AcceptBackoff(log::line, this::rested))
+            .handler(new AcceptBackoff(log::line, this::acceptsAgain))
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, Upstreams.READS)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Upstreams.MARKS)
@@ -181,6 +181,13 @@
     return c != null;
   }
 
+  /** The listener had to wait for the system; the first connections may come before it is known here. */
+  private void acceptsAgain() {
+    if (listener != null) {
+      makeRoom();
+    }
+  }
+
   private void rested() {
     if (listener.isOpen()) {
       listener.config().setAutoRead(true);
--- a/src/main/java/corkproxy/proxy/Management.java
+++ b/src/main/java/corkproxy/proxy/Management.java
@@ -91,7 +91,7 @@
                 new ChannelInitializer<ServerChannel>() {
                   @Override
                   protected void initChannel(ServerChannel socket) {
-                    socket.pipeline().addLast(AcceptBackoff.of(socket, log::line));
+                    socket.pipeline().addLast(new AcceptBackoff(log::line));
                   }
                 })
             .childOption(ChannelOption.TCP_NODELAY, true)
--- a/src/test/java/corkproxy/proxy/PeersTest.java
+++ b/src/test/java/corkproxy/proxy/PeersTest.java
@@ -118,4 +118,29 @@
       assertThat(log.toString()).containsOnlyOnce("silent to several");
     }
   }
+
+  /** Whether the proxy has its port: nobody else can have it then. */
+  private boolean taken() {
+    try (DatagramSocket probe = new DatagramSocket(proxy)) {
+      return !probe.isBound();
+    } catch (IOException e) {
+      return true;
+    }
+  }
+
+  @Test
+  void aPortThatIsNotFreeYetIsListenedOnOnceItIs() throws Exception {
+    ByteArrayOutputStream log = new ByteArrayOutputStream();
+    DatagramSocket holder = new DatagramSocket(proxy);
+    try (World w = world()) {
+      World.Host silent = w.new Host(h -> null);
+      run(w, silent, log);
+      World.await(() -> log.toString().contains("peers can't be heard"));
+      holder.close();
+      World.await(this::taken);
+      Suspicion said = loseOne(w, silent);
+      say(peer, new Suspicion(said.zone(), said.host(), 100, false).bytes());
+      World.await(() -> log.toString().contains("h" + silent.port() + " silent to several proxies"));
+    }
+  }
 }
