End the soak's proxies with its rig: left over, they had reached other tests' servers

Cause: eleven proxies of soaks had outlived their runs (five when the rig was ended by hand, six by a restart that began as a run ended) and asked for their discovery at ports that were test servers' by then: the failures of PeersTest, StreamingTest, EndingsTest and, by its shape, DaemonTest. They were ended by id.

--- a/src/test/java/corkproxy/soak/ProxyProcess.java
+++ b/src/test/java/corkproxy/soak/ProxyProcess.java
@@ -86,6 +86,8 @@
       }
     }
     process = builder.start();
+    // Guards other tests on the machine: a proxy that outlives its run goes on asking for its discovery at a port that is theirs by then.
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     awaitReady();
   }
 
