--- a/review/src/Discovery.java
+++ b/review/src/Discovery.java
@@ -13,6 +13,10 @@
 /** Stand-in for discovery: whole lists, and watches with an empty line every 2 s. */
 final class Discovery implements AutoCloseable {
   final List<Host> hosts = new ArrayList<>();
+
+  /** Whole list to tell in place of {@link #hosts}, or null. */
+  volatile String list;
+
   private final Lab lab;
   private final int port;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
@@ -49,6 +53,9 @@
   }
 
   synchronized String list() {
+    if (list != null) {
+      return list;
+    }
     return "{\"version\":" + version + ",\"full\":true,\"servers\":["
         + hosts.stream().filter(host -> !host.state.equals("removed")).map(Host::json).collect(Collectors.joining(",")) + "]}";
   }
--- a/review/src/Lab.java
+++ b/review/src/Lab.java
@@ -1,5 +1,6 @@
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -12,8 +13,11 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -31,6 +35,8 @@
     }
   }
 
+  private static final Set<Integer> TAKEN_PORTS = ConcurrentHashMap.newKeySet();
+
   /** A client proxy as one process. */
   final class Proxy {
     final String name;
@@ -155,10 +161,19 @@
     throw new CannotRun("deploy/balancer.toml has no line run");
   }
 
+  /** Returns a free port below the range from which the system takes ports itself, so that no other socket gets it meanwhile. */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
+    for (int i = 0; i < 1_000; i++) {
+      int port = ThreadLocalRandom.current().nextInt(10_000, 32_000);
+      if (TAKEN_PORTS.add(port)) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+          return socket.getLocalPort();
+        } catch (BindException e) {
+          // in use; another one
+        }
+      }
     }
+    throw new CannotRun("no free port");
   }
 
   static Socket connect(int port) throws IOException {
@@ -182,6 +197,14 @@
     return false;
   }
 
+  static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.ISO_8859_1);
   }
--- a/review/src/Settings.java
+++ b/review/src/Settings.java
@@ -3,6 +3,8 @@
   String claim = requestClass("visit-claim", "at_most_once", "all", 800, 5000, 8);
   String log = requestClass("visit-log", "deduplicated", "cell", 1200, 750, 5);
   String more = "";
+  String zone = "fukuoka-dc";
+  String zones = "\"fukuoka-dc\"";
   String mode = "automatic";
   double askWithin = 10_000;
   int memoryMb = 192;
@@ -23,7 +25,7 @@
         + "\"membershipMode\":\"" + mode + "\",\"overShareWorth\":0.1,\"period\":5.0,\"position\":0,"
         + "\"report\":{\"fields\":[\"fail_rate\",\"rif\"],\"how\":\"answers\"},"
         + "\"rules\":{\"answerSlack\":20.0,\"askWithin\":" + askWithin + ",\"cold\":8700.0,\"drainGrace\":500.0,\"fall\":1500.0,\"fallMultiple\":3.0,\"startCapacity\":0.3},"
-        + "\"specifics\":{\"warmKeys\":false},\"stage\":0,\"tenants\":[],\"tiers\":[\"roster-api\"],\"weights\":\"none\",\"worthBy\":\"request\",\"zone\":\"fukuoka-dc\",\"zones\":[\"fukuoka-dc\"]}";
+        + "\"specifics\":{\"warmKeys\":false},\"stage\":0,\"tenants\":[],\"tiers\":[\"roster-api\"],\"weights\":\"none\",\"worthBy\":\"request\",\"zone\":\"" + zone + "\",\"zones\":[" + zones + "]}";
   }
 
   String config(Lab.Proxy proxy, Discovery discovery) {
--- a/review/src/SilentInUpload.java
+++ b/review/src/SilentInUpload.java
@@ -52,10 +52,11 @@
               }));
     }
     Settings settings = new Settings();
-    Lab.Proxy proxy = lab.proxy("n0");
-    proxy.writeConfig(settings.config(proxy, discovery));
-    proxy.start();
     for (int round = 0; round < ROUNDS; round++) {
+      // A client proxy of its own for each round, so that each sees one server vanish once.
+      Lab.Proxy proxy = lab.proxy("n" + round);
+      proxy.writeConfig(settings.config(proxy, discovery));
+      proxy.start();
       // Opens several connections to each server.
       List<Future<?>> shortClaims = new ArrayList<>();
       for (int i = 0; i < 24; i++) {
@@ -84,6 +85,7 @@
       for (Future<?> client : clients) {
         client.get();
       }
+      proxy.signal("KILL");
     }
     lab.say(
         "%d claims with 3.6 to 4.4 MB, of which %d were answered in time, %d LOST, %d not wholly taken by the proxy's machine and not judged",
