Name the class of a failed attempt in the detailed log

Two causes fit: the class is resolved wrongly for a head that comes after the reload, or resolved rightly before it and looked up again by name in the settings in force when the body is complete. The log named neither.

Change: 'attempt' lines of BALANCER_LOG_DETAILS carry the class that the load balancer used.

--- a/src/main/java/leadferry/engine/OutcomeReporter.java
+++ b/src/main/java/leadferry/engine/OutcomeReporter.java
@@ -79,6 +79,8 @@
         attempt.host.name,
         "attempt",
         attempt.number() + 1,
+        "class",
+        exchange.className,
         "ms",
         Math.round(spentMillis),
         "id",
