--- a/src/main/java/leadferry/adapter/Adapter.java
+++ b/src/main/java/leadferry/adapter/Adapter.java
@@ -12,6 +12,7 @@
 import leadferry.loadbalancer.EndpointListEvent;
 import leadferry.loadbalancer.EndpointUpdate;
 import leadferry.loadbalancer.LoadBalancer;
+import leadferry.loadbalancer.RequestPolicy;
 
 /**
  * Runs one {@link LoadBalancer} per instance of the simulator. Reads batches of events and replies
@@ -151,7 +152,8 @@
     String className = events.requestClass();
     double budgetMillis = events.budgetMillis();
     if (instance != null) {
-      instance.onRequest(nowMillis, events.arrival(request, className, budgetMillis));
+      RequestPolicy policy = instance.policyOf(className, budgetMillis);
+      instance.onRequest(nowMillis, events.arrival(request, policy, budgetMillis));
     }
   }
 
--- a/src/main/java/leadferry/adapter/EventReader.java
+++ b/src/main/java/leadferry/adapter/EventReader.java
@@ -11,6 +11,7 @@
 import leadferry.loadbalancer.EndpointUpdate;
 import leadferry.loadbalancer.LoadReport;
 import leadferry.loadbalancer.RequestArrival;
+import leadferry.loadbalancer.RequestPolicy;
 
 /**
  * Reads the fields of the simulator's events. This is the only class that maps the fields to the
@@ -125,14 +126,11 @@
     return line.decimal("budget");
   }
 
-  /**
-   * Returns the arrival: the given values, which have been read already, and the optional fields of
-   * the current line.
-   */
-  RequestArrival arrival(long request, String className, double budgetMillis) {
+  /** Returns the arrival: the given values, and the optional fields of the current line. */
+  RequestArrival arrival(long request, RequestPolicy policy, double budgetMillis) {
     return new RequestArrival(
         request,
-        className,
+        policy,
         line.string("org", null),
         budgetMillis,
         line.decimal("estimate", Double.NaN),
--- a/src/main/java/leadferry/adapter/Instance.java
+++ b/src/main/java/leadferry/adapter/Instance.java
@@ -10,6 +10,7 @@
 import leadferry.loadbalancer.LoadBalancerActions;
 import leadferry.loadbalancer.LoadReport;
 import leadferry.loadbalancer.RequestArrival;
+import leadferry.loadbalancer.RequestPolicy;
 import leadferry.loadbalancer.Settings;
 
 /** One proxy of the simulated tier: a load balancer and, if permitted, gossip. */
@@ -57,6 +58,11 @@
     return gossip != null;
   }
 
+  /** See {@link LoadBalancer#policyOf}. */
+  RequestPolicy policyOf(String className, double budgetMillis) {
+    return loadBalancer.policyOf(className, budgetMillis);
+  }
+
   void onRequest(double nowMillis, RequestArrival arrival) {
     loadBalancer.onRequest(nowMillis, arrival);
   }
--- a/src/main/java/leadferry/daemon/DaemonRequestFilter.java
+++ b/src/main/java/leadferry/daemon/DaemonRequestFilter.java
@@ -21,6 +21,7 @@
 import leadferry.limits.ClientIdentity;
 import leadferry.limits.LimitDecision;
 import leadferry.loadbalancer.RequestArrival;
+import leadferry.loadbalancer.RequestPolicy;
 import leadferry.loadbalancer.Settings;
 import leadferry.routing.NormalizedPath;
 import leadferry.routing.RequestAttributes;
@@ -216,7 +217,12 @@
     boolean idempotent = requestClass.semantics() == Settings.Semantics.IDEMPOTENT;
     RequestArrival arrival =
         new RequestArrival(
-            0, className, tenant.isEmpty() ? null : tenant, timeoutMillis, Double.NaN, false);
+            0,
+            policyIn(pool, requestClass),
+            tenant.isEmpty() ? null : tenant,
+            timeoutMillis,
+            Double.NaN,
+            false);
     Dispatcher dispatcher = countAndGetDispatcher(pool);
     if (dispatcher == null) {
       decision.release();
@@ -250,6 +256,11 @@
     return worker.dispatcher(pool);
   }
 
+  /** Returns what this snapshot's settings of a pool permit for a request of the class. */
+  private RequestPolicy policyIn(String pool, Settings.RequestClass requestClass) {
+    return RequestPolicy.of(requestClass, snapshot.pools.get(pool).config().settings().limits());
+  }
+
   private FallbackPools fallbackPools(
       List<String> names, int from, String first, RequestArrival arrival, boolean idempotent) {
     if (from >= names.size()) {
@@ -263,8 +274,10 @@
         Dispatcher dispatcher =
             names.get(index).equals(first) ? null : worker.dispatcher(names.get(index));
         if (dispatcher != null) {
+          RequestArrival next =
+              arrival.withPolicy(policyIn(names.get(index), arrival.policy().requestClass()));
           return new FallbackPools.NextPool(
-              dispatcher, arrival, fallbackPools(names, index + 1, first, arrival, idempotent));
+              dispatcher, next, fallbackPools(names, index + 1, first, arrival, idempotent));
         }
       }
       return null;
--- a/src/main/java/leadferry/engine/Dispatcher.java
+++ b/src/main/java/leadferry/engine/Dispatcher.java
@@ -74,7 +74,7 @@
     this.settings = settings;
     this.connectionPool = connectionPool;
     this.bodyBudget = bodyBudget;
-    this.reporter = new OutcomeReporter(log, settings);
+    this.reporter = new OutcomeReporter(log);
     this.hosts = new UpstreamHosts(new ServerStartClock(System::currentTimeMillis, now()));
     this.balancer = new LoadBalancer(settings, seed, this);
   }
@@ -234,12 +234,11 @@
   }
 
   /**
-   * Applies other settings from the next event on; open requests keep the settings under which they
+   * Applies other settings from the next event on; a request keeps the policy with which it
    * arrived.
    */
   public void updateSettings(Settings next) {
     settings = next;
-    reporter.updateSettings(next);
     if (suspicions != null) {
       suspicions.onSettings(next.shortestObjectiveMillis());
     }
@@ -266,16 +265,9 @@
   public void submit(ClientCall call, RequestArrival arrival, FallbackPools fallback) {
     long id = nextRequestId++;
     Exchange exchange =
-        new Exchange(id, this, call, arrival.className(), now() + arrival.budgetMillis(), fallback);
+        new Exchange(id, this, call, arrival.policy(), now() + arrival.budgetMillis(), fallback);
     exchanges.put(id, exchange);
-    RequestArrival numbered =
-        new RequestArrival(
-            id,
-            arrival.className(),
-            arrival.tenant(),
-            arrival.budgetMillis(),
-            arrival.estimateMillis(),
-            arrival.isRepeat());
+    RequestArrival numbered = arrival.withId(id);
     deliver(exchange, () -> balancer.onRequest(now(), numbered));
   }
 
--- a/src/main/java/leadferry/engine/Exchange.java
+++ b/src/main/java/leadferry/engine/Exchange.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.TimeUnit;
 import leadferry.loadbalancer.AttemptOutcome;
 import leadferry.loadbalancer.LoadReport;
+import leadferry.loadbalancer.RequestPolicy;
+import leadferry.loadbalancer.Settings;
 
 /**
  * Tracks one client request in one pool from its last byte on: its deadline, its attempts and its
@@ -19,7 +21,7 @@
   private static final double NANOS_PER_MILLI = 1e6;
 
   final long id;
-  final String className;
+  final RequestPolicy policy;
   final double startedAt;
   private final Dispatcher dispatcher;
   private final ClientCall call;
@@ -37,11 +39,11 @@
       long id,
       Dispatcher dispatcher,
       ClientCall call,
-      String className,
+      RequestPolicy policy,
       double deadlineAt,
       FallbackPools fallback) {
     this.id = id;
-    this.className = className;
+    this.policy = policy;
     this.dispatcher = dispatcher;
     this.startedAt = dispatcher.now();
     this.call = call;
@@ -82,6 +84,11 @@
     return Math.max(1, (long) (deadlineAt - dispatcher.now()));
   }
 
+  /** Returns the class with which the request arrived. */
+  Settings.RequestClass requestClass() {
+    return policy.requestClass();
+  }
+
   /** Returns the id that the client gave the request, or null; the log shows it. */
   String requestId() {
     return call.requestId();
@@ -122,7 +129,7 @@
 
   private boolean canStartLast() {
     return call.isReplayable()
-        && attempts.size() <= dispatcher.maxAttempts()
+        && attempts.size() <= Math.min(policy.maxAttempts(), dispatcher.maxAttempts())
         && (attempts.size() == 1 || dispatcher.isRetryAllowed());
   }
 
--- a/src/main/java/leadferry/engine/OutcomeReporter.java
+++ b/src/main/java/leadferry/engine/OutcomeReporter.java
@@ -22,32 +22,26 @@
           AttemptOutcome.RESET);
 
   private final Log log;
-  private Settings settings;
 
   /** Null where results are not counted, as in the proxy that the {@code platform} starts. */
   private OutcomeCounter counter;
 
-  OutcomeReporter(Log log, Settings settings) {
+  OutcomeReporter(Log log) {
     this.log = log;
-    this.settings = settings;
   }
 
   void setCounter(OutcomeCounter next) {
     counter = next;
   }
 
-  /** Applies the latency objectives of other settings. */
-  void updateSettings(Settings next) {
-    settings = next;
-  }
-
   /** Reports an attempt that has ended {@code spentMillis} after it was sent. */
   void onAttemptEnded(
       Exchange exchange, Attempt attempt, AttemptOutcome outcome, double spentMillis) {
     if (counter != null && isCounted(outcome)) {
+      Settings.RequestClass requestClass = exchange.requestClass();
       boolean bad =
-          outcome != AttemptOutcome.OK || spentMillis > objectiveMillis(exchange.className);
-      counter.countAttempt(attempt.host.name, exchange.className, bad);
+          outcome != AttemptOutcome.OK || spentMillis > requestClass.latencyObjectiveMillis();
+      counter.countAttempt(attempt.host.name, requestClass.name(), bad);
     }
     if (FAILURES.contains(outcome) && log.isDetailEnabled()) {
       logFailure(exchange, attempt, outcome, spentMillis);
@@ -60,8 +54,9 @@
    */
   void onRequestEnded(Exchange exchange, boolean isSuccess, double spentMillis) {
     if (counter != null) {
-      boolean bad = !isSuccess || spentMillis > objectiveMillis(exchange.className);
-      counter.countRequest(exchange.className, bad);
+      Settings.RequestClass requestClass = exchange.requestClass();
+      boolean bad = !isSuccess || spentMillis > requestClass.latencyObjectiveMillis();
+      counter.countRequest(requestClass.name(), bad);
     }
   }
 
@@ -80,7 +75,7 @@
         "attempt",
         attempt.number() + 1,
         "class",
-        exchange.className,
+        exchange.requestClass().name(),
         "ms",
         Math.round(spentMillis),
         "id",
@@ -90,17 +85,4 @@
   private static String logWord(AttemptOutcome outcome) {
     return outcome.name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
-
-  /**
-   * Returns the latency objective (ms) of a class; a class that was not declared has none and gives
-   * {@code Double.MAX_VALUE}.
-   */
-  private double objectiveMillis(String className) {
-    for (Settings.RequestClass declared : settings.classes()) {
-      if (declared.name().equals(className)) {
-        return declared.latencyObjectiveMillis();
-      }
-    }
-    return Double.MAX_VALUE;
-  }
 }
--- a/src/main/java/leadferry/loadbalancer/EndpointPicker.java
+++ b/src/main/java/leadferry/loadbalancer/EndpointPicker.java
@@ -148,8 +148,7 @@
       Endpoint endpoint, int endpointCount, RequestState request, double nowMillis) {
     return idempotencyPolicy.canSend(request, endpoint, nowMillis)
         && !request.hasTried(endpoint)
-        && outlierDetector.isAvailable(
-            endpoint, request.latencyEstimate.silentAfterMillis(), nowMillis)
+        && outlierDetector.isAvailable(endpoint, request.silentAfterMillis(), nowMillis)
         && classEjections.isAvailable(endpoint, request.requestClass(), nowMillis)
         && slowStartBudget.canSend(endpoint, endpointCount, nowMillis);
   }
@@ -208,8 +207,7 @@
           || !slowStartBudget.canSend(endpoint, count, nowMillis)) {
         continue;
       }
-      if (outlierDetector.isAvailable(
-              endpoint, request.latencyEstimate.silentAfterMillis(), nowMillis)
+      if (outlierDetector.isAvailable(endpoint, request.silentAfterMillis(), nowMillis)
           && !request.hasTried(endpoint)) {
         return endpoint;
       }
--- a/src/main/java/leadferry/loadbalancer/HedgingPolicy.java
+++ b/src/main/java/leadferry/loadbalancer/HedgingPolicy.java
@@ -67,7 +67,7 @@
       return Decision.WAIT;
     }
     Settings.Limits limits = settings.current().limits();
-    if (limits.canRunParallelAttempts()) {
+    if (request.policy.canRunParallelAttempts(limits)) {
       return retryBudget.tryAcquire() ? Decision.HEDGE : Decision.WAIT;
     }
     return limits.canCancel() && !lastAttempt.isCancelled ? Decision.CANCEL : Decision.WAIT;
--- a/src/main/java/leadferry/loadbalancer/IdempotencyPolicy.java
+++ b/src/main/java/leadferry/loadbalancer/IdempotencyPolicy.java
@@ -58,8 +58,8 @@
 
   private boolean isWithinLimits(RequestState request, double nowMillis) {
     Settings.Limits limits = settings.current().limits();
-    return request.attempts.size() < Math.min(request.maxAttempts, limits.maxAttempts())
-        && (request.openAttempts == 0 || limits.canRunParallelAttempts())
+    return request.attempts.size() < request.policy.maxAttempts(limits)
+        && (request.openAttempts == 0 || request.policy.canRunParallelAttempts(limits))
         && nowMillis < request.deadlineMillis;
   }
 
--- a/src/main/java/leadferry/loadbalancer/LatencyEstimate.java
+++ b/src/main/java/leadferry/loadbalancer/LatencyEstimate.java
@@ -17,26 +17,14 @@
    */
   private static final double OVERDUE_DEVIATIONS = 5;
 
-  final Settings.RequestClass requestClass;
   private double meanMillis;
   private double deviationMillis;
   private int sampleCount;
 
-  /**
-   * Creates an estimate that continues from an earlier one.
-   *
-   * @param previous the estimate of the class of this name under the previous settings, or null
-   */
-  LatencyEstimate(Settings.RequestClass requestClass, LatencyEstimate previous) {
-    this.requestClass = requestClass;
-    if (previous == null) {
-      this.meanMillis = requestClass.latencyObjectiveMillis() * INITIAL_OBJECTIVE_SHARE;
-      this.deviationMillis = meanMillis;
-    } else {
-      this.meanMillis = previous.meanMillis;
-      this.deviationMillis = previous.deviationMillis;
-      this.sampleCount = previous.sampleCount;
-    }
+  /** Creates the estimate of a class with this latency objective, before its first response. */
+  LatencyEstimate(double latencyObjectiveMillis) {
+    this.meanMillis = latencyObjectiveMillis * INITIAL_OBJECTIVE_SHARE;
+    this.deviationMillis = meanMillis;
   }
 
   /** Records a response that took {@code spentMillis}. */
@@ -61,9 +49,10 @@
 
   /**
    * Returns the time in milliseconds after which a missing response counts as silence of the
-   * endpoint. It is at most the latency objective, because a later response is of no use.
+   * endpoint. It is at most the latency objective of the request, because a later response is of no
+   * use.
    */
-  double silentAfterMillis() {
-    return Math.min(requestClass.latencyObjectiveMillis(), overdueAfterMillis());
+  double silentAfterMillis(double latencyObjectiveMillis) {
+    return Math.min(latencyObjectiveMillis, overdueAfterMillis());
   }
 }
--- a/src/main/java/leadferry/loadbalancer/LoadBalancer.java
+++ b/src/main/java/leadferry/loadbalancer/LoadBalancer.java
@@ -3,7 +3,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 
 /**
  * Makes the load-balancing decisions of one client proxy. The caller passes in events with the time
@@ -32,6 +34,7 @@
   private final LoadReportEstimate loadReports;
   private final InFlightPeak inFlight;
   private final SplittableRandom random;
+  private final Map<String, RequestPolicy> policies = new HashMap<>();
   private final Map<String, LatencyEstimate> latencyEstimates = new HashMap<>();
   private final Map<Long, RequestState> requests = new HashMap<>();
 
@@ -74,22 +77,22 @@
     this.terminationPolicy = new TerminationPolicy(context, idempotencyPolicy);
     this.outcomeObserver = new OutcomeObserver(context, outlierDetector, classEjections);
     this.watchBackoff = new WatchBackoff(context);
-    onSettings(settings);
+    tenantQuotas.onSettings();
   }
 
   /**
-   * Replaces the settings. Open requests keep the class with which they arrived, and may use no
-   * more attempts than the smaller of the old and the new limit.
+   * Replaces the settings. A request keeps the policy with which it arrived; the limits on its
+   * attempts are the stricter ones of its policy and of the new settings.
    */
   public void onSettings(Settings newSettings) {
     settings.set(newSettings);
     tenantQuotas.onSettings();
-    Map<String, LatencyEstimate> previousEstimates = Map.copyOf(latencyEstimates);
-    latencyEstimates.clear();
-    for (Settings.RequestClass requestClass : newSettings.classes()) {
-      String name = requestClass.name();
-      latencyEstimates.put(name, new LatencyEstimate(requestClass, previousEstimates.get(name)));
-    }
+    Set<String> classNames =
+        newSettings.classes().stream()
+            .map(Settings.RequestClass::name)
+            .collect(Collectors.toUnmodifiableSet());
+    latencyEstimates.keySet().retainAll(classNames);
+    policies.clear();
   }
 
   /**
@@ -128,12 +131,7 @@
   /** Admits a new client request and sends it, or rejects it. */
   public void onRequest(double nowMillis, RequestArrival arrival) {
     RequestState request =
-        new RequestState(
-            arrival.id(),
-            latencyEstimateOf(arrival),
-            nowMillis,
-            arrival.budgetMillis(),
-            settings.current().limits());
+        new RequestState(arrival, latencyEstimateOf(arrival.policy().requestClass()), nowMillis);
     requests.put(request.id, request);
     retryBudget.onRequest();
     admissionController.onArrival(request, arrival.tenant(), nowMillis);
@@ -145,11 +143,18 @@
     }
   }
 
-  private LatencyEstimate latencyEstimateOf(RequestArrival arrival) {
+  /**
+   * Returns {@link Settings#policyOf} under the settings in force. Later requests of an unknown
+   * class get the policy of the first one.
+   */
+  public RequestPolicy policyOf(String className, double budgetMillis) {
+    return policies.computeIfAbsent(
+        className, name -> settings.current().policyOf(name, budgetMillis));
+  }
+
+  private LatencyEstimate latencyEstimateOf(Settings.RequestClass requestClass) {
     return latencyEstimates.computeIfAbsent(
-        arrival.className(),
-        name ->
-            new LatencyEstimate(Settings.RequestClass.unknown(name, arrival.budgetMillis()), null));
+        requestClass.name(), name -> new LatencyEstimate(requestClass.latencyObjectiveMillis()));
   }
 
   /**
--- a/src/main/java/leadferry/loadbalancer/OutcomeObserver.java
+++ b/src/main/java/leadferry/loadbalancer/OutcomeObserver.java
@@ -115,7 +115,7 @@
   // Guards against a silent endpoint that goes undetected because clients disconnect before the
   // timeout.
   private void onCancelled(AttemptState attempt, double nowMillis) {
-    double allowedSilenceMillis = attempt.request.latencyEstimate.silentAfterMillis();
+    double allowedSilenceMillis = attempt.request.silentAfterMillis();
     if (pendingResponses.isUnresponsive(attempt.endpoint, allowedSilenceMillis, nowMillis)) {
       onNoResponse(attempt, nowMillis);
     }
--- a/src/main/java/leadferry/loadbalancer/RequestArrival.java
+++ b/src/main/java/leadferry/loadbalancer/RequestArrival.java
@@ -4,8 +4,7 @@
  * A request received from a client.
  *
  * @param id the request number, unique among open requests
- * @param className the name of the request class; an unknown class is treated as at-most-once, the
- *     strictest semantics
+ * @param policy what the settings in force when the request arrived permit for it
  * @param tenant the tenant that the request counts towards, or null
  * @param budgetMillis the time in milliseconds within which the client expects the final response
  * @param estimateMillis the processing time in milliseconds that the client expects, or NaN; not
@@ -14,13 +13,23 @@
  */
 public record RequestArrival(
     long id,
-    String className,
+    RequestPolicy policy,
     String tenant,
     double budgetMillis,
     double estimateMillis,
     boolean isRepeat) {
   /** Returns a copy of this arrival with {@code remainingMillis} as its budget. */
   public RequestArrival withBudget(double remainingMillis) {
-    return new RequestArrival(id, className, tenant, remainingMillis, estimateMillis, isRepeat);
+    return new RequestArrival(id, policy, tenant, remainingMillis, estimateMillis, isRepeat);
+  }
+
+  /** Returns a copy of this arrival with {@code newId} as its request number. */
+  public RequestArrival withId(long newId) {
+    return new RequestArrival(newId, policy, tenant, budgetMillis, estimateMillis, isRepeat);
+  }
+
+  /** Returns a copy of this arrival with the policy of another pool. */
+  public RequestArrival withPolicy(RequestPolicy newPolicy) {
+    return new RequestArrival(id, newPolicy, tenant, budgetMillis, estimateMillis, isRepeat);
   }
 }
--- a/src/main/java/leadferry/loadbalancer/RequestState.java
+++ b/src/main/java/leadferry/loadbalancer/RequestState.java
@@ -10,16 +10,14 @@
 
   final long id;
 
-  /**
-   * Latency estimate of the request's class, under the settings in force when the request arrived.
-   */
+  /** What the settings in force when the request arrived permit for it. */
+  final RequestPolicy policy;
+
+  /** Latency estimate of the request's class. */
   final LatencyEstimate latencyEstimate;
 
   final double deadlineMillis;
 
-  /** Maximum number of attempts under the settings in force when the request arrived. */
-  final int maxAttempts;
-
   final List<AttemptState> attempts = new ArrayList<>(2);
 
   /** See {@link TenantQuotas#priorityWeight}. */
@@ -40,20 +38,20 @@
   /** Attempt whose response has started to reach the client, or null. */
   AttemptState streamingAttempt;
 
-  RequestState(
-      long id,
-      LatencyEstimate latencyEstimate,
-      double nowMillis,
-      double budgetMillis,
-      Settings.Limits limits) {
-    this.id = id;
+  RequestState(RequestArrival arrival, LatencyEstimate latencyEstimate, double nowMillis) {
+    this.id = arrival.id();
+    this.policy = arrival.policy();
     this.latencyEstimate = latencyEstimate;
-    this.deadlineMillis = nowMillis + budgetMillis;
-    this.maxAttempts = limits.maxAttempts();
+    this.deadlineMillis = nowMillis + arrival.budgetMillis();
   }
 
   Settings.RequestClass requestClass() {
-    return latencyEstimate.requestClass;
+    return policy.requestClass();
+  }
+
+  /** See {@link LatencyEstimate#silentAfterMillis}. */
+  double silentAfterMillis() {
+    return latencyEstimate.silentAfterMillis(requestClass().latencyObjectiveMillis());
   }
 
   /** Returns whether the response has started to reach the client. */
--- a/src/main/java/leadferry/loadbalancer/Settings.java
+++ b/src/main/java/leadferry/loadbalancer/Settings.java
@@ -105,14 +105,33 @@
         .orElse(DEFAULT_OBJECTIVE_MILLIS);
   }
 
-  /** Whether a request may be repeated after an attempt that may have been executed. */
+  /**
+   * Returns the policy of the class with this name. An unknown class is treated as at-most-once,
+   * the strictest semantics, with {@code budgetMillis} as its time limit.
+   */
+  public RequestPolicy policyOf(String className, double budgetMillis) {
+    for (RequestClass requestClass : classes) {
+      if (requestClass.name().equals(className)) {
+        return RequestPolicy.of(requestClass, limits);
+      }
+    }
+    return RequestPolicy.of(RequestClass.unknown(className, budgetMillis), limits);
+  }
+
+  /**
+   * Whether a request may be repeated after an attempt that may have been executed; the strictest
+   * semantics come last.
+   */
   public enum Semantics {
     IDEMPOTENT,
     DEDUPLICATED,
     AT_MOST_ONCE
   }
 
-  /** The endpoints that share the deduplication memory of a request class. */
+  /**
+   * The endpoints that share the deduplication memory of a request class; the narrowest scope comes
+   * last.
+   */
   public enum KeyScope {
     ALL,
     ZONE,
@@ -153,15 +172,15 @@
       };
     }
 
-    /** Returns this class under another name. */
-    public RequestClass withName(String newName) {
+    /** Returns this class, restricted to what {@code other} permits for a request as well. */
+    RequestClass strictest(RequestClass other) {
       return new RequestClass(
-          newName,
+          name,
           latencyObjectiveMillis,
-          deadlineMillis,
-          semantics,
-          keyScope,
-          deduplicationWindowMillis,
+          Math.min(deadlineMillis, other.deadlineMillis),
+          semantics.compareTo(other.semantics) >= 0 ? semantics : other.semantics,
+          keyScope.compareTo(other.keyScope) >= 0 ? keyScope : other.keyScope,
+          Math.min(deduplicationWindowMillis, other.deduplicationWindowMillis),
           value,
           lateValue);
     }
--- a/src/main/java/leadferry/proxy/ConfigReloader.java
+++ b/src/main/java/leadferry/proxy/ConfigReloader.java
@@ -30,7 +30,6 @@
   private final Consumer<Config> onReload;
   private Config config;
   private Future<?> scheduledRetry;
-  private Future<?> scheduledTransitionEnd;
   private volatile WatchedFile watchedFile;
 
   /**
@@ -103,19 +102,15 @@
   }
 
   /**
-   * Applies new settings. Clients may not know them yet: requests of the previous form are accepted
-   * for {@link RequestClassResolver#TRANSITION_MILLIS}.
+   * Applies new settings. Clients may not know them yet: the replaced settings are respected too
+   * for {@link RequestPolicyResolver#TRANSITION_MILLIS}.
    */
   private void apply(Settings next) {
     requestFilter.applySettings(next);
     log.line("new settings in force");
-    if (scheduledTransitionEnd != null) {
-      scheduledTransitionEnd.cancel(false);
-    }
-    scheduledTransitionEnd =
-        loop.schedule(
-            requestFilter::endSettingsTransition,
-            RequestClassResolver.TRANSITION_MILLIS,
-            TimeUnit.MILLISECONDS);
+    loop.schedule(
+        requestFilter::endOldestSettingsTransition,
+        RequestPolicyResolver.TRANSITION_MILLIS,
+        TimeUnit.MILLISECONDS);
   }
 }
--- a/src/main/java/leadferry/proxy/PlatformRequestFilter.java
+++ b/src/main/java/leadferry/proxy/PlatformRequestFilter.java
@@ -11,6 +11,7 @@
 import leadferry.http.RequestFilter;
 import leadferry.http.Streaming;
 import leadferry.loadbalancer.RequestArrival;
+import leadferry.loadbalancer.RequestPolicy;
 import leadferry.loadbalancer.Settings;
 
 /**
@@ -32,30 +33,28 @@
   private static final String RETRIED = "X-Retried";
 
   private final Dispatcher dispatcher;
-  private final RequestClassResolver classResolver;
+  private final RequestPolicyResolver policyResolver;
   private final OperatorState operatorState;
   private boolean draining;
 
   PlatformRequestFilter(Dispatcher dispatcher, Settings settings, OperatorState operatorState) {
     this.dispatcher = dispatcher;
     this.operatorState = operatorState;
-    this.classResolver = new RequestClassResolver(settings);
+    this.policyResolver = new RequestPolicyResolver(settings);
   }
 
   /**
-   * Applies new settings to later requests. Requests of the previous form are accepted until {@link
-   * #endSettingsTransition}.
+   * Applies new settings to later requests. The settings that they replace are respected too, until
+   * {@link #endOldestSettingsTransition} is called for them.
    */
   void applySettings(Settings next) {
-    dispatcher.updateSettings(classResolver.replaceSettings(next));
+    policyResolver.replaceSettings(next);
+    dispatcher.updateSettings(next);
   }
 
-  /** Stops accepting requests of the form that preceded the last change of settings. */
-  void endSettingsTransition() {
-    Settings settled = classResolver.endTransition();
-    if (settled != null) {
-      dispatcher.updateSettings(settled);
-    }
+  /** Stops respecting the oldest replaced settings; called once for each change of settings. */
+  void endOldestSettingsTransition() {
+    policyResolver.dropOldestReplaced();
   }
 
   void startDraining() {
@@ -86,23 +85,27 @@
     }
     String key = Framing.singleValue(headers, IDEMPOTENCY_KEY);
     boolean keyed = key != null && !key.isBlank();
-    Settings.RequestClass requestClass = classResolver.resolve(name, request.method(), keyed);
-    if (requestClass == null) {
-      return FilterResult.reject(404);
+    RequestPolicy policy = policyResolver.resolve(name, request.method(), keyed);
+    if (policy == null) {
+      return rejectUnknownForm(name, request.method());
     }
-    if (!RequestClassResolver.matchesForm(requestClass, request.method(), keyed)) {
-      boolean onlyKeyMissing =
-          RequestClassResolver.matchesForm(requestClass, request.method(), true);
-      return FilterResult.reject(onlyKeyMissing ? 400 : 405);
-    }
-    double timeoutMillis = timeoutMillis(headers, requestClass);
+    double timeoutMillis = timeoutMillis(headers, policy.requestClass());
     if (Double.isNaN(timeoutMillis)) {
       return FilterResult.reject(400);
     }
-    RequestArrival arrival = arrival(headers, requestClass, timeoutMillis);
+    RequestArrival arrival = arrival(headers, policy, timeoutMillis);
     return FilterResult.forward(dispatcher, arrival, null, Streaming.LARGE, null, null);
   }
 
+  /** Rejects a request that has the form of no class with this name. */
+  private FilterResult rejectUnknownForm(String name, HttpMethod method) {
+    if (!policyResolver.isKnown(name)) {
+      return FilterResult.reject(404);
+    }
+    boolean onlyKeyMissing = policyResolver.resolve(name, method, true) != null;
+    return FilterResult.reject(onlyKeyMissing ? 400 : 405);
+  }
+
   private static boolean hasValidId(HttpHeaders headers) {
     String id = Framing.singleValue(headers, REQUEST_ID);
     return id != null && !id.isBlank() && id.length() <= MAX_ID_CHARACTERS;
@@ -127,10 +130,10 @@
   }
 
   private static RequestArrival arrival(
-      HttpHeaders headers, Settings.RequestClass requestClass, double timeoutMillis) {
+      HttpHeaders headers, RequestPolicy policy, double timeoutMillis) {
     return new RequestArrival(
         0,
-        requestClass.name(),
+        policy,
         headers.get(TENANT_ID),
         timeoutMillis,
         costMillis(headers.get(COST_MICROS)),
--- a/src/test/java/leadferry/bench/FleetModel.java
+++ b/src/test/java/leadferry/bench/FleetModel.java
@@ -224,7 +224,7 @@
           nowMillis,
           new RequestArrival(
               id,
-              request.className,
+              loadBalancer.policyOf(request.className, ATTEMPT_TIMEOUT_SHARE * DEADLINE_MILLIS),
               null,
               ATTEMPT_TIMEOUT_SHARE * DEADLINE_MILLIS,
               Double.NaN,
--- a/src/test/java/leadferry/bench/HandOffBenchmark.java
+++ b/src/test/java/leadferry/bench/HandOffBenchmark.java
@@ -45,7 +45,9 @@
   }
 
   private static void decide(LoadBalancer loadBalancer, long id, double nowMillis) {
-    loadBalancer.onRequest(nowMillis, new RequestArrival(id, "c", null, 800, Double.NaN, false));
+    loadBalancer.onRequest(
+        nowMillis,
+        new RequestArrival(id, loadBalancer.policyOf("c", 800), null, 800, Double.NaN, false));
     loadBalancer.onOutcome(nowMillis, id, 0, AttemptOutcome.OK, 8, true, null);
   }
 
--- a/src/test/java/leadferry/bench/PickBenchmark.java
+++ b/src/test/java/leadferry/bench/PickBenchmark.java
@@ -99,7 +99,9 @@
     loadBalancer.onEndpointList(nowMillis, EndpointListEvent.FULL, endpoints(hosts));
     for (int i = 0; i < OPEN_REQUESTS; i++) {
       loadBalancer.onRequest(
-          nowMillis, new RequestArrival(nextId++, "c", null, 800, Double.NaN, false));
+          nowMillis,
+          new RequestArrival(
+              nextId++, loadBalancer.policyOf("c", 800), null, 800, Double.NaN, false));
     }
   }
 
@@ -109,6 +111,8 @@
     nowMillis += 0.5;
     loadBalancer.onOutcome(nowMillis, nextId - OPEN_REQUESTS, 0, AttemptOutcome.OK, 8, true, null);
     loadBalancer.onRequest(
-        nowMillis, new RequestArrival(nextId++, "c", null, 800, Double.NaN, false));
+        nowMillis,
+        new RequestArrival(
+            nextId++, loadBalancer.policyOf("c", 800), null, 800, Double.NaN, false));
   }
 }
--- a/src/test/java/leadferry/bench/WorkerSpread.java
+++ b/src/test/java/leadferry/bench/WorkerSpread.java
@@ -9,6 +9,7 @@
 import leadferry.loadbalancer.EndpointListEvent;
 import leadferry.loadbalancer.LoadBalancer;
 import leadferry.loadbalancer.RequestArrival;
+import leadferry.loadbalancer.RequestPolicy;
 
 /**
  * Measures, in simulated time, what the spread over hosts and the number of connections lose if
@@ -111,8 +112,10 @@
       } else {
         nowMillis[0] = nextArrivalMillis;
         startedAt.put(id, nextArrivalMillis);
-        loadBalancers[random.nextInt(workers)].onRequest(
-            nextArrivalMillis, new RequestArrival(id, "c", null, 800, Double.NaN, false));
+        LoadBalancer loadBalancer = loadBalancers[random.nextInt(workers)];
+        RequestPolicy policy = loadBalancer.policyOf("c", 800);
+        loadBalancer.onRequest(
+            nextArrivalMillis, new RequestArrival(id, policy, null, 800, Double.NaN, false));
         id++;
         nextArrivalMillis += -Math.log(1 - random.nextDouble()) / requestsPerMilli;
       }
--- a/src/test/java/leadferry/daemon/DaemonTest.java
+++ b/src/test/java/leadferry/daemon/DaemonTest.java
@@ -550,6 +550,35 @@
         .hasSize(runsAtNext);
   }
 
+  /** A fallback pool looked the class up again by name, in the file that had replaced it. */
+  @Test
+  void aFallbackPoolKeepsTheClassWithWhichTheRequestArrived() throws Exception {
+    FakeUpstream first = fixture.startUpstream("first");
+    first.setFault(Fault.TURN_AWAY, 1);
+    FakeUpstream[] next = {fixture.startUpstream("next"), fixture.startUpstream("other")};
+    for (FakeUpstream upstream : next) {
+      upstream.setFault(Fault.RESET_AFTER, 1);
+    }
+    String[] pools = {pool("a", "", first), pool("b", "", next)};
+    String route = route("r", "/", "class = \"claim\"\npool = \"a\"\nfallback = [\"b\"]");
+    fixture.start(LISTENER, CLASSES, pools[0], pools[1], route);
+    try (Socket client = fixture.client()) {
+      ProxyFixture.write(
+          client, request("PUT", "/x", "r", "Content-Length: 4", "Expect: 100-continue"));
+      assertThat(ProxyFixture.readMessage(client.getInputStream())).startsWith("HTTP/1.1 100");
+      fixture.write(
+          LISTENER,
+          CLASSES.replace("[class.claim]", "[class.claim]\nrepeat = \"safe\""),
+          pools[0],
+          pools[1],
+          route);
+      assertThat(fixture.daemon.reload()).isTrue();
+      ProxyFixture.write(client, "body");
+      assertThat(ProxyFixture.readMessage(client.getInputStream())).startsWith("HTTP/1.1 502");
+    }
+    assertThat(fixture.executionLog.executionsOf("r")).hasSize(1);
+  }
+
   @Test
   void aKeyedRequestThatMayHaveRunStaysInItsPool() throws Exception {
     FakeUpstream first = fixture.startUpstream("first");
--- a/src/test/java/leadferry/engine/EngineFixture.java
+++ b/src/test/java/leadferry/engine/EngineFixture.java
@@ -58,6 +58,8 @@
   volatile BiFunction<Integer, Channel, ChannelFuture> attemptWriter =
       (number, channel) -> channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[] {1}));
 
+  private final Settings settings;
+
   EngineFixture(Transport transport, int size, Settings.RequestClass type) throws Exception {
     group = new MultiThreadIoEventLoopGroup(1, transport.ioHandlerFactory());
     loop = (EventLoop) group.next();
@@ -71,7 +73,7 @@
           new UpstreamHosts.Member(
               "h" + i, address, "z", "k", 1, EndpointUpdate.Condition.READY, 1, 0));
     }
-    Settings settings =
+    settings =
         new Settings(
             List.of(type),
             List.of(),
@@ -126,7 +128,10 @@
     onLoop(
         () -> {
           dispatcher.submit(
-              new OneByteCall(), new RequestArrival(0, "c", null, 60_000, Double.NaN, false), null);
+              new OneByteCall(),
+              new RequestArrival(
+                  0, settings.policyOf("c", 60_000), null, 60_000, Double.NaN, false),
+              null);
           return null;
         });
   }
--- a/src/test/java/leadferry/loadbalancer/LoadBalancerAdmissionTest.java
+++ b/src/test/java/leadferry/loadbalancer/LoadBalancerAdmissionTest.java
@@ -18,8 +18,7 @@
   @Test
   void requestWithoutEndpointsIsRejectedAtOnce() {
     LoadBalancer balancer = fixture.createIdempotent(0);
-    balancer.onRequest(
-        fixture.nowMillis, LoadBalancerFixture.request(1, LoadBalancerFixture.IDEMPOTENT, 800));
+    fixture.arrive(balancer, 1, LoadBalancerFixture.IDEMPOTENT, 800);
     assertThat(fixture.rejected).containsExactly(1L);
   }
 
@@ -27,8 +26,7 @@
   void overloadShedsRequestsUntilItEnds() {
     LoadBalancer balancer = fixture.createIdempotent(4);
     for (int i = 0; i < 60; i++) {
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
     }
     fixture.nowMillis += 790;
     for (int i = 0; i < 60; i++) {
@@ -36,8 +34,7 @@
     }
     int sent = fixture.sends.size();
     for (int i = 1_000; i < 1_050; i++) {
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
     }
     assertThat(fixture.rejected).hasSizeGreaterThan(20);
     assertThat(fixture.sends).hasSizeGreaterThan(sent);
@@ -54,8 +51,7 @@
   void overloadIsRememberedBetweenTimeouts() {
     LoadBalancer balancer = fixture.createIdempotent(4);
     for (int i = 0; i < 60; i++) {
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
     }
     fixture.nowMillis += 790;
     for (int i = 0; i < 60; i++) {
@@ -63,8 +59,7 @@
     }
     fixture.nowMillis += 3_000;
     for (int i = 1_000; i < 1_100; i++) {
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
     }
     assertThat(fixture.rejected).hasSizeGreaterThan(60);
   }
@@ -74,8 +69,7 @@
   void heavyRequestsDoNotInflateQueueDelay() {
     LoadBalancer balancer = fixture.createIdempotent(3);
     for (int i = 0; i < 120; i++) {
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
       LoadBalancerFixture.Send send = fixture.last();
       double spentMillis = i % 10 == 9 ? 780 : 60;
       fixture.nowMillis += spentMillis;
@@ -95,11 +89,16 @@
     for (long id = 0; id < 3; id++) {
       balancer.onLoadReport(fixture.nowMillis, id, LoadBalancerFixture.loadReport(25));
     }
-    balancer.onRequest(
-        fixture.nowMillis, LoadBalancerFixture.request(900, LoadBalancerFixture.IDEMPOTENT, 800));
+    fixture.arrive(balancer, 900, LoadBalancerFixture.IDEMPOTENT, 800);
     assertThat(fixture.rejected).hasSize(rejected);
   }
 
+  private void arrive(LoadBalancer balancer, long id, String tenant) {
+    RequestPolicy policy = balancer.policyOf(LoadBalancerFixture.IDEMPOTENT, 800);
+    balancer.onRequest(
+        fixture.nowMillis, new RequestArrival(id, policy, tenant, 800, Double.NaN, false));
+  }
+
   /** Guards against a burst of one tenant that displaces requests of tenants within their share. */
   @Test
   void tenantOverItsQuotaIsRejectedFirst() {
@@ -111,10 +110,7 @@
                     LoadBalancerFixture.IDEMPOTENT, Semantics.IDEMPOTENT, KeyScope.ALL)),
             LoadBalancerFixture.endpoints(4));
     for (int i = 0; i < 90; i++) {
-      balancer.onRequest(
-          fixture.nowMillis,
-          new RequestArrival(
-              i, LoadBalancerFixture.IDEMPOTENT, i % 9 == 0 ? "y" : "x", 800, Double.NaN, false));
+      arrive(balancer, i, i % 9 == 0 ? "y" : "x");
     }
     fixture.nowMillis += 790;
     for (int i = 0; i < 90; i++) {
@@ -124,15 +120,7 @@
     for (int i = 0; i < 180; i++) {
       int before = fixture.rejected.size();
       boolean isWithinQuota = i % 9 == 0;
-      balancer.onRequest(
-          fixture.nowMillis,
-          new RequestArrival(
-              1_000 + i,
-              LoadBalancerFixture.IDEMPOTENT,
-              isWithinQuota ? "y" : "x",
-              800,
-              Double.NaN,
-              false));
+      arrive(balancer, 1_000 + i, isWithinQuota ? "y" : "x");
       rejected[isWithinQuota ? 1 : 0] += fixture.rejected.size() - before;
     }
     // 160 requests of x, 20 of y
@@ -243,8 +231,7 @@
     LoadBalancer balancer = fixture.createIdempotent(1);
     for (int i = 0; i < 200; i++) {
       fixture.nowMillis += 1;
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
       if (fixture.last().request() == i) {
         balancer.onOutcome(
             fixture.nowMillis,
@@ -259,8 +246,7 @@
     ArrayDeque<Long> open = new ArrayDeque<>();
     int maxOpen = 0;
     for (long i = 200; i < 400; i++) {
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
       if (fixture.last().request() == i) {
         open.add(i);
       }
@@ -293,7 +279,7 @@
                     LoadBalancerFixture.IDEMPOTENT, Semantics.IDEMPOTENT, KeyScope.ALL)),
             LoadBalancerFixture.endpoints(1));
     for (int i = 0; i < 30; i++) {
-      balancer.onRequest(fixture.nowMillis, LoadBalancerFixture.request(i, "stream", 4_000));
+      fixture.arrive(balancer, i, "stream", 4_000);
       fixture.nowMillis += 10;
       balancer.onFirstByte(fixture.nowMillis, i, 0, 10);
     }
--- a/src/test/java/leadferry/loadbalancer/LoadBalancerFixture.java
+++ b/src/test/java/leadferry/loadbalancer/LoadBalancerFixture.java
@@ -81,8 +81,16 @@
     return all;
   }
 
-  static RequestArrival request(long id, String className, double budgetMillis) {
-    return new RequestArrival(id, className, null, budgetMillis, Double.NaN, false);
+  /** Returns a request that arrives under the settings in force. */
+  static RequestArrival request(
+      LoadBalancer balancer, long id, String className, double budgetMillis) {
+    return new RequestArrival(
+        id, balancer.policyOf(className, budgetMillis), null, budgetMillis, Double.NaN, false);
+  }
+
+  /** Passes a request to the load balancer. */
+  void arrive(LoadBalancer balancer, long id, String className, double budgetMillis) {
+    balancer.onRequest(nowMillis, request(balancer, id, className, budgetMillis));
   }
 
   /** Returns a load balancer that knows these endpoints and acts on this fixture. */
@@ -104,7 +112,7 @@
 
   /** Sends a request and ends it successfully after {@code spentMillis}. */
   void serve(LoadBalancer balancer, long id, double spentMillis) {
-    balancer.onRequest(nowMillis, request(id, IDEMPOTENT, 800));
+    arrive(balancer, id, IDEMPOTENT, 800);
     Send send = last();
     nowMillis += spentMillis;
     balancer.onOutcome(nowMillis, id, send.number(), AttemptOutcome.OK, spentMillis, true, null);
@@ -112,7 +120,7 @@
 
   /** Sends a request and returns the endpoint of the last attempt. */
   long request(LoadBalancer balancer, int id) {
-    balancer.onRequest(nowMillis, request(id, IDEMPOTENT, 800));
+    arrive(balancer, id, IDEMPOTENT, 800);
     return last().endpoint();
   }
 
--- a/src/test/java/leadferry/loadbalancer/LoadBalancerOutlierTest.java
+++ b/src/test/java/leadferry/loadbalancer/LoadBalancerOutlierTest.java
@@ -23,8 +23,7 @@
     for (int i = 0; i < 200; i++) {
       fixture.serve(balancer, i, 10);
     }
-    balancer.onRequest(
-        fixture.nowMillis, LoadBalancerFixture.request(1_000, LoadBalancerFixture.IDEMPOTENT, 800));
+    fixture.arrive(balancer, 1_000, LoadBalancerFixture.IDEMPOTENT, 800);
     long silent = fixture.last().endpoint();
     fixture.nowMillis += 300;
     for (int i = 2_000; i < 2_100; i++) {
@@ -42,8 +41,7 @@
     int sendsAfterRecovery = 0;
     for (int i = 0; i < 2_000; i++) {
       fixture.nowMillis += 5;
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
       for (int k = 0; k < 3; k++) {
         LoadBalancerFixture.Send send = fixture.last();
         if (send.request() != i || send.number() != k) {
@@ -78,13 +76,11 @@
   void ejectedShareOfEndpointsIsLimited() {
     LoadBalancer balancer = fixture.createIdempotent(3);
     for (int i = 0; i < 60; i++) {
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
       balancer.onOutcome(fixture.nowMillis, i, 0, AttemptOutcome.ERROR, 1, true, null);
     }
     int before = fixture.sends.size();
-    balancer.onRequest(
-        fixture.nowMillis, LoadBalancerFixture.request(100, LoadBalancerFixture.IDEMPOTENT, 800));
+    fixture.arrive(balancer, 100, LoadBalancerFixture.IDEMPOTENT, 800);
     assertThat(fixture.sends).hasSizeGreaterThan(before);
     balancer.onOutcome(fixture.nowMillis, 100, 0, AttemptOutcome.OK, 1, true, null);
     assertThat(fixture.logs).filteredOn(line -> line.endsWith("ejected")).hasSize(1);
@@ -104,8 +100,7 @@
     LoadBalancer balancer = fixture.createIdempotent(4);
     for (int i = 0; i < 60; i++) {
       fixture.nowMillis += 20;
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
       for (int k = 0; k < 4 && fixture.last().request() == i && fixture.last().number() == k; k++) {
         balancer.onOutcome(fixture.nowMillis, i, k, AttemptOutcome.FULL, 1, false, null);
       }
@@ -138,10 +133,7 @@
     int others = 0;
     for (int i = 0; i < 1_000; i++) {
       fixture.nowMillis += 10;
-      balancer.onRequest(
-          fixture.nowMillis,
-          LoadBalancerFixture.request(
-              i, i % 2 == 0 ? limited : LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, i % 2 == 0 ? limited : LoadBalancerFixture.IDEMPOTENT, 800);
       for (int k = 0; k < 4 && fixture.last().request() == i && fixture.last().number() == k; k++) {
         boolean isLimited = i % 2 == 0 && fixture.last().endpoint() < 2;
         rejected += isLimited ? 1 : 0;
@@ -273,21 +265,18 @@
     for (int i = 0; i < 200; i++) {
       fixture.serve(balancer, i, 10);
     }
-    balancer.onRequest(
-        fixture.nowMillis, LoadBalancerFixture.request(1_000, LoadBalancerFixture.IDEMPOTENT, 800));
+    fixture.arrive(balancer, 1_000, LoadBalancerFixture.IDEMPOTENT, 800);
     long busy = fixture.last().endpoint();
     balancer.onReadUntil(fixture.nowMillis + 1);
     fixture.nowMillis += 150;
     Map<Long, Integer> counts = new HashMap<>();
     for (int i = 2_000; i < 2_020; i++) {
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
       counts.merge(fixture.last().endpoint(), 1, Integer::sum);
     }
     assertThat(counts.get(busy)).isGreaterThan(5); // its response may be unread here
     balancer.onReadUntil(fixture.nowMillis); // no response has arrived
-    balancer.onRequest(
-        fixture.nowMillis, LoadBalancerFixture.request(3_000, LoadBalancerFixture.IDEMPOTENT, 800));
+    fixture.arrive(balancer, 3_000, LoadBalancerFixture.IDEMPOTENT, 800);
     assertThat(fixture.last().endpoint()).isNotEqualTo(busy);
   }
 }
--- a/src/test/java/leadferry/loadbalancer/LoadBalancerSimulation.java
+++ b/src/test/java/leadferry/loadbalancer/LoadBalancerSimulation.java
@@ -382,8 +382,8 @@
     request.deadlineMillis = nowMillis + budgetMillis;
     long id = nextId++;
     requests.put(id, request);
-    balancer.onRequest(
-        nowMillis, LoadBalancerFixture.request(id, request.requestClass.name(), budgetMillis));
+    String name = request.requestClass.name();
+    balancer.onRequest(nowMillis, LoadBalancerFixture.request(balancer, id, name, budgetMillis));
     // A client may disconnect early. Open attempts still end.
     if (random.nextInt(30) == 0) {
       after(
--- a/src/test/java/leadferry/loadbalancer/LoadBalancerTest.java
+++ b/src/test/java/leadferry/loadbalancer/LoadBalancerTest.java
@@ -22,8 +22,7 @@
     LoadBalancer balancer = fixture.createIdempotent(4);
     Map<Long, Integer> counts = new HashMap<>();
     for (int i = 0; i < 40; i++) {
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
       counts.merge(fixture.last().endpoint(), 1, Integer::sum);
     }
     assertThat(counts.values()).allSatisfy(count -> assertThat(count).isBetween(7, 13));
@@ -37,8 +36,7 @@
         EndpointListEvent.DELTA,
         List.of(LoadBalancerFixture.endpoint(1, Condition.TERMINATING, 0)));
     for (int i = 0; i < 60; i++) {
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
       assertThat(fixture.last().endpoint()).isNotEqualTo(1);
     }
   }
@@ -69,11 +67,11 @@
             LoadBalancerFixture.settings(
                 LoadBalancerFixture.requestClass("once", Semantics.AT_MOST_ONCE, KeyScope.ALL)),
             LoadBalancerFixture.endpoints(4));
-    balancer.onRequest(fixture.nowMillis, LoadBalancerFixture.request(1, "once", 400));
+    fixture.arrive(balancer, 1, "once", 400);
     balancer.onOutcome(fixture.nowMillis + 400, 1, 0, AttemptOutcome.TIMEOUT, 400, false, null);
     assertThat(fixture.sends).hasSize(1);
     assertThat(fixture.failed).containsExactly(1L);
-    balancer.onRequest(fixture.nowMillis, LoadBalancerFixture.request(2, "once", 400));
+    fixture.arrive(balancer, 2, "once", 400);
     balancer.onOutcome(fixture.nowMillis, 2, 0, AttemptOutcome.FULL, 1, false, null);
     assertThat(fixture.sends).hasSize(3);
   }
@@ -116,8 +114,7 @@
       balancer.onEndpointList(
           each.nowMillis, EndpointListEvent.FULL, LoadBalancerFixture.endpoints(9));
       for (int i = 0; i < 100; i++) {
-        balancer.onRequest(
-            each.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+        each.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
       }
     }
     assertThat(other.sends).isEqualTo(fixture.sends);
@@ -138,8 +135,7 @@
             List.of(LoadBalancerFixture.endpoint(3, Condition.READY, fixture.nowMillis)));
       }
       int before = fixture.sends.size();
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
       for (int k = before; k < fixture.sends.size(); k++) {
         LoadBalancerFixture.Send send = fixture.sends.get(k);
         boolean isServed = k % 10 == 0; // endpoints serve a tenth of the attempts
@@ -194,8 +190,7 @@
     Map<Long, Integer> streamingCounts = new HashMap<>();
     int maxDifference = 0;
     for (int i = 0; i < 100; i++) {
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(i, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, i, LoadBalancerFixture.IDEMPOTENT, 800);
       fixture.nowMillis += 10;
       balancer.onFirstByte(fixture.nowMillis, i, 0, 10);
       streamingCounts.merge(fixture.last().endpoint(), 1, Integer::sum);
@@ -219,8 +214,7 @@
     for (int index = 0; index < 400; index++) {
       int id = isLagReported ? index : 1_000 + index; // ids must not repeat
       balancer.onReadUntil(fixture.nowMillis);
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(id, LoadBalancerFixture.IDEMPOTENT, 800));
+      fixture.arrive(balancer, id, LoadBalancerFixture.IDEMPOTENT, 800);
       LoadBalancerFixture.Send send = fixture.last();
       double unreadMillis = send.endpoint() == 0 ? 40 : 0;
       fixture.nowMillis += 10 + unreadMillis;
@@ -247,9 +241,9 @@
     LoadBalancer balancer =
         fixture.create(
             LoadBalancerFixture.settings(idempotentClass), LoadBalancerFixture.endpoints(4));
-    balancer.onRequest(fixture.nowMillis, LoadBalancerFixture.request(1, "c", 800));
+    fixture.arrive(balancer, 1, "c", 800);
     balancer.onSettings(LoadBalancerFixture.settings(atMostOnceClass));
-    balancer.onRequest(fixture.nowMillis, LoadBalancerFixture.request(2, "c", 800));
+    fixture.arrive(balancer, 2, "c", 800);
     balancer.onOutcome(fixture.nowMillis, 1, 0, AttemptOutcome.ERROR, 5, false, null);
     // retried, because it arrived with the idempotent class
     assertThat(fixture.last().request()).isEqualTo(1L);
@@ -267,8 +261,7 @@
           fixture.create(
               LoadBalancerFixture.settings(true, attemptLimits[0], false, requestClass),
               LoadBalancerFixture.endpoints(6));
-      balancer.onRequest(
-          fixture.nowMillis, LoadBalancerFixture.request(attemptLimits[0], "c", 800));
+      fixture.arrive(balancer, attemptLimits[0], "c", 800);
       balancer.onSettings(
           LoadBalancerFixture.settings(true, attemptLimits[1], false, requestClass));
       for (int i = 0; i < fixture.sends.size(); i++) {
@@ -285,8 +278,7 @@
     for (int i = 0; i < 200; i++) {
       fixture.serve(balancer, i, 10);
     }
-    balancer.onRequest(
-        fixture.nowMillis, LoadBalancerFixture.request(1_000, LoadBalancerFixture.IDEMPOTENT, 800));
+    fixture.arrive(balancer, 1_000, LoadBalancerFixture.IDEMPOTENT, 800);
     long silent = fixture.last().endpoint();
     balancer.onSettings(
         LoadBalancerFixture.settings(
--- a/src/test/java/leadferry/proxy/ProxyFixture.java
+++ b/src/test/java/leadferry/proxy/ProxyFixture.java
@@ -119,6 +119,7 @@
     private final Function<String, String> responder;
     final List<String> requests = new CopyOnWriteArrayList<>();
     String kind = "k";
+    int cell = 1;
 
     /**
      * Number of requests that arrived on a connection less than 5 ms after a response on it had
@@ -247,7 +248,9 @@
                 + host.address()
                 + "\",\"zone\":\"z\",\"kind\":\""
                 + host.kind
-                + "\",\"cell\":1,\"state\":\"up\",\"weight\":1.0,"
+                + "\",\"cell\":"
+                + host.cell
+                + ",\"state\":\"up\",\"weight\":1.0,"
                 + "\"started_ms\":0}");
       }
       endpointList =
