Count a request's time while its body stands unread

Cause: the time of a streamed request started when its last byte was read. A server that takes nothing pauses reading, so the last byte stays in the kernel, and the deadline stays at an hour.

Change: UnreadInputWatch asks the socket every 50 ms how much stands unread, which bounds when the last byte came; UnreadBodyDeadline ends the request in that time, also where reading waits for memory. A host that takes nothing for the receive time-out ends an upload.

--- a/src/main/java/leadferry/engine/Exchange.java
+++ b/src/main/java/leadferry/engine/Exchange.java
@@ -66,6 +66,15 @@
     schedule(budgetMillis, this::onDeadline);
   }
 
+  /**
+   * Ends the request as one whose time is up: its last byte may have arrived long ago, although it
+   * has not been read.
+   */
+  public void expire() {
+    deadlineAt = dispatcher.now();
+    onDeadline();
+  }
+
   /**
    * Runs the task after {@code delayMillis}, unless the request and its attempts are over by then.
    */
--- a/src/main/java/leadferry/engine/NioTransport.java
+++ b/src/main/java/leadferry/engine/NioTransport.java
@@ -58,6 +58,14 @@
       }
     }
 
+    private long unreadBytes() {
+      try {
+        return javaChannel().socket().getInputStream().available(); // FIONREAD, without blocking
+      } catch (IOException e) {
+        return UNKNOWN_BYTES;
+      }
+    }
+
     /**
      * Whether neither bytes nor the end of the stream have arrived on the socket. Guards against a
      * write to a pooled connection that the host has already closed, where the end of the stream is
@@ -88,6 +96,11 @@
     return Connection.class;
   }
 
+  @Override
+  public long unreadBytes(Channel client) {
+    return client instanceof Connection connection ? connection.unreadBytes() : UNKNOWN_BYTES;
+  }
+
   @Override
   public ClientEnd checkClientEnd(Channel client) {
     return client instanceof Connection connection ? connection.checkEnd() : ClientEnd.NONE;
--- a/src/main/java/leadferry/engine/Transport.java
+++ b/src/main/java/leadferry/engine/Transport.java
@@ -9,6 +9,9 @@
  * opens.
  */
 public interface Transport {
+  /** Result of {@link #unreadBytes} where the socket can't count them. */
+  long UNKNOWN_BYTES = -1;
+
   /** Returns the factory of the I/O handlers with which event loops poll. */
   IoHandlerFactory ioHandlerFactory();
 
@@ -34,6 +37,14 @@
     return checkClientEnd(client);
   }
 
+  /**
+   * Returns the number of bytes that have arrived on a client's connection and have not been read,
+   * or {@link #UNKNOWN_BYTES} where the socket can't tell. The end of the stream counts as none.
+   */
+  default long unreadBytes(Channel client) {
+    return UNKNOWN_BYTES;
+  }
+
   /** Whether {@link #checkClientEnd} never loses a byte and may be called at any time. */
   default boolean canCheckWithoutLoss() {
     return false;
--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -309,6 +309,11 @@
     log.logRequest(outcome, status, call, filterResult, sinceNanos);
   }
 
+  /** Logs a request that is ended because part of its body was unread for its whole time. */
+  void logUnreadBody(long receivedBytes, long unreadBytes, double unreadMillis) {
+    log.logUnreadBody(call, receivedBytes, unreadBytes, unreadMillis);
+  }
+
   // --- maintenance
 
   /** Whether the connection carries part of a request or an unfinished response. */
@@ -342,9 +347,6 @@
 
   /** Enforces the time limits of the connection; called several times a second. */
   void enforceTimeouts(long nowNanos) {
-    if (disconnectDetector.isDiscardingPipelined() && acceptsRequests()) {
-      channel.config().setAutoRead(true);
-    }
     if (call != null
         && intake.upload() != null
         && intake.upload().isStalled(nowNanos, timeouts.receiveTimeoutNanos())) {
--- a/src/main/java/leadferry/http/DisconnectDetector.java
+++ b/src/main/java/leadferry/http/DisconnectDetector.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.socket.SocketChannel;
+import java.util.concurrent.TimeUnit;
 import leadferry.engine.Transport;
 
 /**
@@ -11,11 +12,14 @@
  * <p>Used only on the connection's event loop.
  */
 final class DisconnectDetector {
+  /** Maximum pipelined input (bytes) that is discarded before reading pauses. */
+  private static final int MAX_DISCARDED_BYTES_PER_INTERVAL = 1 << 20;
+
   /**
-   * Maximum pipelined input (bytes) that is discarded between two calls of {@link
-   * ClientConnection#enforceTimeouts}.
+   * Length (ms) of the pause. The end of the stream has to be read within 100 ms, even if it stands
+   * behind as much input as the kernel buffers.
    */
-  private static final int MAX_DISCARDED_BYTES_PER_INTERVAL = 1 << 20;
+  private static final long DISCARD_PAUSE_MILLIS = 10;
 
   private final ClientConnection connection;
   private final SocketChannel channel;
@@ -54,15 +58,21 @@
     connection.removeDecoder();
   }
 
-  /**
-   * Discards pipelined input; beyond the limit, reading stops until the next call of {@link
-   * ClientConnection#enforceTimeouts}.
-   */
+  /** Discards pipelined input; beyond the limit, reading pauses. */
   void discard(Object message) {
     discardedBytes += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
     if (discardedBytes > MAX_DISCARDED_BYTES_PER_INTERVAL) {
       discardedBytes = 0;
       channel.config().setAutoRead(false);
+      channel
+          .eventLoop()
+          .schedule(this::resumeDiscarding, DISCARD_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void resumeDiscarding() {
+    if (connection.acceptsRequests()) {
+      channel.config().setAutoRead(true);
     }
   }
 
--- a/src/main/java/leadferry/http/HttpCall.java
+++ b/src/main/java/leadferry/http/HttpCall.java
@@ -140,10 +140,17 @@
   /**
    * Restarts the deadline of the request when its body is complete, with the time budget that
    * upstream hosts were given in {@code X-Timeout-Ms}. Without such a budget the deadline stays.
+   *
+   * @param lastByteAgeMillis time for which the last byte was unread
    */
-  void onUploadComplete() {
-    if (announcedMillis > 0) {
-      exchange.restartDeadline(announcedMillis);
+  void onUploadComplete(double lastByteAgeMillis) {
+    if (announcedMillis == 0) {
+      return;
+    }
+    if (lastByteAgeMillis < announcedMillis) {
+      exchange.restartDeadline(announcedMillis - lastByteAgeMillis);
+    } else {
+      exchange.expire(); // the last byte must not be forwarded
     }
   }
 
--- a/src/main/java/leadferry/http/RequestBodyUpload.java
+++ b/src/main/java/leadferry/http/RequestBodyUpload.java
@@ -40,6 +40,7 @@
   private long receivedBytes;
   private long lastReceivedNanos = System.nanoTime();
   private boolean readingPaused;
+  private long pausedSinceNanos;
 
   /**
    * Creates an upload; takes ownership of {@code receivedBody}, the part that has arrived already,
@@ -126,10 +127,18 @@
         currentAttempt != null
             ? currentAttempt.isUpstreamWritable()
             : replayable && receivedBytes <= MAX_REPLAY_BYTES - MAX_READ_BYTES;
+    if (!hasCapacity && !readingPaused) {
+      pausedSinceNanos = System.nanoTime();
+    }
     readingPaused = !hasCapacity;
     client.setReading(hasCapacity);
   }
 
+  /** Returns the time (ns) for which the input could be neither sent nor kept. */
+  long pausedNanos(long nowNanos) {
+    return readingPaused ? nowNanos - pausedSinceNanos : 0;
+  }
+
   /**
    * Whether no input has arrived from the client for longer than {@code timeoutNanos} while it was
    * being read.
--- a/src/main/java/leadferry/http/RequestIntake.java
+++ b/src/main/java/leadferry/http/RequestIntake.java
@@ -51,6 +51,7 @@
   private final RequestBodyBuffer buffer;
   private final RequestAdmission admission;
   private final DiscardedInput discarded;
+  private final UnreadBodyDeadline unreadDeadline;
   private RequestBodyUpload upload;
 
   RequestIntake(
@@ -68,6 +69,7 @@
     this.buffer = new RequestBodyBuffer(server, channel);
     this.admission = new RequestAdmission(client, server);
     this.discarded = new DiscardedInput(client, server, channel, decoder);
+    this.unreadDeadline = new UnreadBodyDeadline(client, server, channel);
   }
 
   // --- the current request
@@ -209,6 +211,9 @@
         call,
         isLarge ? arrival.withBudget(arrival.budgetMillis() + MAX_UPLOAD_MILLIS) : arrival,
         result.fallback());
+    if (isLarge && upload != null) {
+      unreadDeadline.startForUpload(upload, arrival.budgetMillis());
+    }
   }
 
   /** Enables or disables reading from the client, depending on whether the upload has capacity. */
@@ -240,7 +245,11 @@
 
   private void appendToBuffer(ByteBuf bytes) {
     switch (buffer.append(bytes, head)) {
-      case HELD -> {}
+      case HELD -> {
+        if (buffer.isPaused()) {
+          unreadDeadline.startForHeldBody(buffer, head.filterResult().arrival().budgetMillis());
+        }
+      }
       case TOO_LARGE -> client.reject(413);
       case MUST_STREAM -> {
         startStreaming();
@@ -265,7 +274,9 @@
     } else if (upload != null) {
       completeUpload(trailers);
     } else {
-      completeHeld(trailers, receivedAtNanos);
+      double lastByteAgeMillis = unreadDeadline.lastByteAgeMillis();
+      unreadDeadline.stop();
+      completeHeld(trailers, receivedAtNanos, lastByteAgeMillis);
     }
   }
 
@@ -275,13 +286,15 @@
     // Reading may be paused for lack of capacity. It resumes here, so that a disconnect of the
     // client is detected.
     channel.config().setAutoRead(true);
+    double lastByteAgeMillis = unreadDeadline.lastByteAgeMillis();
+    unreadDeadline.stop();
     if (client.call() != null) {
-      client.call().onUploadComplete();
+      client.call().onUploadComplete(lastByteAgeMillis);
     }
     completedUpload.onEnd(trailers);
   }
 
-  private void completeHeld(HttpHeaders trailers, long receivedAtNanos) {
+  private void completeHeld(HttpHeaders trailers, long receivedAtNanos, double lastByteAgeMillis) {
     boolean isFirst = client.markRequestSeen();
     Body body = buffer.takeComplete();
     HttpRequest request = head.request();
@@ -300,14 +313,19 @@
         RequestBodyBuffer.release(body);
       }
       case POOL_FULL -> rejectUnsent(body);
-      case ADMITTED -> dispatch(request, body, trailers, receivedAtNanos);
+      case ADMITTED ->
+          dispatch(
+              request, body, trailers, Math.max(lastByteAgeMillis, millisSince(receivedAtNanos)));
     }
   }
 
+  private static double millisSince(long nanos) {
+    return (System.nanoTime() - nanos) / NANOS_PER_MILLI;
+  }
+
   private void dispatch(
-      HttpRequest request, Body body, HttpHeaders trailers, long receivedAtNanos) {
+      HttpRequest request, Body body, HttpHeaders trailers, double elapsedMillis) {
     FilterResult result = head.filterResult();
-    double elapsedMillis = (System.nanoTime() - receivedAtNanos) / NANOS_PER_MILLI;
     double remainingMillis = result.arrival().budgetMillis() - elapsedMillis;
     if (remainingMillis < MIN_REMAINING_MILLIS) {
       rejectUnsent(body); // its time elapsed while it was queued behind pipelined requests
@@ -332,6 +350,7 @@
    * accepted.
    */
   void onResponseSubmitted() {
+    unreadDeadline.stop();
     discarded.onResponseSubmitted(shouldSkipRemainder());
     upload = null;
     admission.releaseId();
@@ -340,6 +359,7 @@
 
   /** Drops the current request without forwarding it. */
   void dropRequest() {
+    unreadDeadline.stop();
     buffer.discard();
     head.clearRequest();
     head.releaseFilterResult();
--- a/src/main/java/leadferry/http/RequestLog.java
+++ b/src/main/java/leadferry/http/RequestLog.java
@@ -69,6 +69,28 @@
         id(call));
   }
 
+  /**
+   * Logs a request that is ended because part of its body was unread for its whole time.
+   *
+   * @param call the call of the request in the engine, or null
+   */
+  void logUnreadBody(HttpCall call, long receivedBytes, long unreadBytes, double unreadMillis) {
+    if (log.isDetailEnabled()) {
+      log.detail(
+          "request body unread",
+          "received",
+          receivedBytes,
+          "unread",
+          unreadBytes,
+          "ms",
+          Math.round(unreadMillis),
+          "server",
+          call == null ? null : call.exchange().lastServer(),
+          "id",
+          id(call));
+    }
+  }
+
   /** Logs that the load balancer closes the connection. */
   void logClosed(CloseReason reason, HttpCall call) {
     if (log.isDetailEnabled()) {
--- /dev/null
+++ b/src/main/java/leadferry/http/UnreadBodyDeadline.java
@@ -0,0 +1,77 @@
+package leadferry.http;
+
+import io.netty.channel.socket.SocketChannel;
+
+/**
+ * Ends a request in its time although its body is not read to its end. The time of a request starts
+ * with its last byte, which may stand unread in the kernel while reading is paused: because an
+ * upstream host takes no more of a streamed body, because an attempt waits for its connection, or
+ * because memory for bodies is used up.
+ *
+ * <p>Used only on the connection's event loop.
+ */
+final class UnreadBodyDeadline {
+  /** Minimum remaining time (ms) of a request that is worth waiting for. */
+  private static final double MIN_REMAINING_MILLIS = 1;
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private final ClientConnection client;
+  private final HttpServer server;
+  private final UnreadInputWatch unreadInput;
+
+  UnreadBodyDeadline(ClientConnection client, HttpServer server, SocketChannel channel) {
+    this.client = client;
+    this.server = server;
+    this.unreadInput = new UnreadInputWatch(channel, server.transport());
+  }
+
+  /**
+   * Starts to guard a streamed request that has {@code budgetMillis} from its last byte on. Also
+   * bounds the time for which an upstream host may take nothing while more is to come.
+   */
+  void startForUpload(RequestBodyUpload upload, double budgetMillis) {
+    unreadInput.start(upload::receivedBytes, () -> expireIfDue(upload, budgetMillis));
+  }
+
+  private void expireIfDue(RequestBodyUpload upload, double budgetMillis) {
+    long nowNanos = System.nanoTime();
+    double unreadMillis = unreadInput.unreadNanos(nowNanos) / NANOS_PER_MILLI;
+    double pausedMillis = upload.pausedNanos(nowNanos) / NANOS_PER_MILLI;
+    boolean isDue =
+        unreadMillis >= budgetMillis || pausedMillis >= server.settings().receiveTimeoutMillis();
+    if (isDue && client.call() != null) {
+      unreadInput.stop();
+      client.logUnreadBody(upload.receivedBytes(), unreadInput.unreadBytes(), unreadMillis);
+      client.call().exchange().expire();
+    }
+  }
+
+  /**
+   * Starts to guard a request that waits for memory and has {@code budgetMillis} from its last byte
+   * on. Nothing of it has been sent, so it can be rejected.
+   */
+  void startForHeldBody(RequestBodyBuffer buffer, double budgetMillis) {
+    unreadInput.start(buffer::heldBytes, () -> rejectIfDue(buffer, budgetMillis));
+  }
+
+  private void rejectIfDue(RequestBodyBuffer buffer, double budgetMillis) {
+    double unreadMillis = unreadInput.unreadNanos(System.nanoTime()) / NANOS_PER_MILLI;
+    if (buffer.isPaused() && unreadMillis >= budgetMillis - MIN_REMAINING_MILLIS) {
+      unreadInput.stop();
+      client.logUnreadBody(buffer.heldBytes(), unreadInput.unreadBytes(), unreadMillis);
+      server.recordMemoryRejection();
+      client.reject(503);
+    }
+  }
+
+  /** Ends the guard: the request is over, or its last byte has been read. */
+  void stop() {
+    unreadInput.stop();
+  }
+
+  /** Returns the time (ms) for which the last byte, which has just been read, was unread. */
+  double lastByteAgeMillis() {
+    return unreadInput.lastByteAgeNanos(System.nanoTime()) / NANOS_PER_MILLI;
+  }
+}
