--- a/src/test/java/leadferry/CiScriptTest.java
+++ b/src/test/java/leadferry/CiScriptTest.java
@@ -23,8 +23,8 @@
       #!/bin/sh
       echo "$*" >> "$(dirname "$0")/calls"
       case "$*" in
-        *Missing*) echo 'No tests matching pattern "Missing#test" were executed!'; exit 1 ;;
-        *-Dtest=Red*) exit 1 ;;
+        *-Dtest=Red*) echo 'Tests run: 1, Failures: 1'; exit 1 ;;
+        *-Dtest=Green*) echo 'Tests run: 1, Failures: 0' ;;
       esac
       """;
 
