--- a/src/main/java/leadferry/engine/NioTransport.java
+++ b/src/main/java/leadferry/engine/NioTransport.java
@@ -15,10 +15,10 @@
     private static final int DISCARD_CHUNK_BYTES = 16 * 1024;
 
     /**
-     * Maximum number of bytes that are read in search of the end of the stream. Guards against a
-     * peer that sends without end and occupies the loop.
+     * Maximum number of bytes that are read in search of the end of the stream: more than a kernel
+     * buffers by default. Guards against a peer that sends without end and occupies the loop.
      */
-    private static final int MAX_DISCARD_BYTES = 2 * DISCARD_CHUNK_BYTES;
+    private static final int MAX_DISCARD_BYTES = 8 << 20;
 
     private final ByteBuffer oneByte = ByteBuffer.allocate(1);
 
