Don't take a malformed response for the close of an idle connection

Seen: TerminationRaceTest#faultOnABusyConnectionDoesNotExtendTheReuseDelay[3] (KNOWN-RED) had 3 connections for 2 under load, and whenever the loop was held for 60 ms before a later request.

Cause: a connection that is lost within 25 ms of a write counts as closed by its host while it was idle, unless response bytes have come; the host's idle limit then falls to 50 ms. A 101, an undecodable head and a wrong version end the connection before they are noted as bytes. So later connections were used for 50 ms only, and a stall of 60 ms cost one more.

Change: HttpUpstreamConnection notes a malformed response before it ends the connection.

--- a/src/main/java/leadferry/http/HttpUpstreamConnection.java
+++ b/src/main/java/leadferry/http/HttpUpstreamConnection.java
@@ -65,6 +65,8 @@
   private enum ResponseState {
     NONE,
     INTERIM,
+    /** The host sent something that can't be a response to the request. */
+    MALFORMED,
     BODY,
     /**
      * The attempt is over; the remaining response is discarded so that the connection can be
@@ -157,7 +159,7 @@
       }
       HttpObject part = (HttpObject) message;
       if (part.decoderResult().isFailure()) {
-        onConnectionLost();
+        onMalformedResponse();
         return;
       }
       if (part instanceof HttpResponse head) {
@@ -178,11 +180,20 @@
     }
   }
 
+  /**
+   * Closes the connection. Guards against a host that is taken to have closed an idle connection,
+   * which would lower its idle limit: it has responded, though not well.
+   */
+  private void onMalformedResponse() {
+    responseState = ResponseState.MALFORMED;
+    onConnectionLost();
+  }
+
   private void onHead(HttpResponse head) {
     HttpStatusClass statusClass = head.status().codeClass();
     if (statusClass == HttpStatusClass.INFORMATIONAL) {
       if (head.status().code() == 101) {
-        onConnectionLost(); // no upgrade was requested
+        onMalformedResponse(); // no upgrade was requested
       } else {
         responseState = ResponseState.INTERIM;
       }
@@ -194,7 +205,7 @@
         || (responseState != ResponseState.NONE && responseState != ResponseState.INTERIM)
         || attempt == null) {
       // The HTTP version is unsupported, or a second response belongs to no attempt.
-      onConnectionLost();
+      onMalformedResponse();
       return;
     }
     responseState = ResponseState.BODY;
