--- a/src/main/java/leadferry/daemon/DaemonRequestFilter.java
+++ b/src/main/java/leadferry/daemon/DaemonRequestFilter.java
@@ -256,7 +256,7 @@
     return worker.dispatcher(pool);
   }
 
-  /** Returns what this snapshot's settings of a pool permit for a request of the class. */
+  /** Returns what this snapshot's settings of a pool allow for a request of the class. */
   private RequestPolicy policyIn(String pool, Settings.RequestClass requestClass) {
     return RequestPolicy.of(requestClass, snapshot.pools.get(pool).config().settings().limits());
   }
--- a/src/main/java/leadferry/loadbalancer/RequestArrival.java
+++ b/src/main/java/leadferry/loadbalancer/RequestArrival.java
@@ -4,7 +4,7 @@
  * A request received from a client.
  *
  * @param id the request number, unique among open requests
- * @param policy what the settings in force when the request arrived permit for it
+ * @param policy what the settings in force when the request arrived allow for it
  * @param tenant the tenant that the request counts towards, or null
  * @param budgetMillis the time in milliseconds within which the client expects the final response
  * @param estimateMillis the processing time in milliseconds that the client expects, or NaN; not
--- a/src/main/java/leadferry/loadbalancer/RequestPolicy.java
+++ b/src/main/java/leadferry/loadbalancer/RequestPolicy.java
@@ -3,7 +3,7 @@
 import leadferry.loadbalancer.Settings.RequestClass;
 
 /**
- * What the settings permit for one request: the class that it arrived with, and the limits on its
+ * What the settings allow for one request: the class that it arrived with, and the limits on its
  * attempts. A request keeps its policy until it ends, so that later settings, in which the same
  * class name may mean something else, don't change what may be done with it.
  *
@@ -19,7 +19,7 @@
     return new RequestPolicy(requestClass, limits.maxAttempts(), limits.canRunParallelAttempts());
   }
 
-  /** Returns a policy that permits only what both this policy and the other one permit. */
+  /** Returns a policy that allows only what both this policy and the other one allow. */
   public RequestPolicy strictest(RequestPolicy other) {
     return new RequestPolicy(
         requestClass.strictest(other.requestClass),
@@ -27,12 +27,12 @@
         canRunParallelAttempts && other.canRunParallelAttempts);
   }
 
-  /** Returns the maximum number of attempts that both this policy and {@code limits} permit. */
+  /** Returns the maximum number of attempts that both this policy and {@code limits} allow. */
   int maxAttempts(Settings.Limits limits) {
     return Math.min(maxAttempts, limits.maxAttempts());
   }
 
-  /** Whether both this policy and {@code limits} permit two open attempts at the same time. */
+  /** Whether both this policy and {@code limits} allow two open attempts at the same time. */
   boolean canRunParallelAttempts(Settings.Limits limits) {
     return canRunParallelAttempts && limits.canRunParallelAttempts();
   }
--- a/src/main/java/leadferry/loadbalancer/RequestState.java
+++ b/src/main/java/leadferry/loadbalancer/RequestState.java
@@ -10,7 +10,7 @@
 
   final long id;
 
-  /** What the settings in force when the request arrived permit for it. */
+  /** What the settings in force when the request arrived allow for it. */
   final RequestPolicy policy;
 
   /** Latency estimate of the request's class. */
--- a/src/main/java/leadferry/loadbalancer/Settings.java
+++ b/src/main/java/leadferry/loadbalancer/Settings.java
@@ -172,7 +172,7 @@
       };
     }
 
-    /** Returns this class, restricted to what {@code other} permits for a request as well. */
+    /** Returns this class, restricted to what {@code other} allows for a request as well. */
     RequestClass strictest(RequestClass other) {
       return new RequestClass(
           name,
--- a/src/main/java/leadferry/proxy/RequestPolicyResolver.java
+++ b/src/main/java/leadferry/proxy/RequestPolicyResolver.java
@@ -20,9 +20,9 @@
  *
  * <p>Method and key define the form of a request: safe ({@code GET}), keyed or neither. A request
  * gets the class whose form it has. Where its form fits both the class of the replaced settings and
- * that of the new ones, it can't be told which of them the client goes by, and only what both
- * permit is permitted. Guards against an effect that happens twice: a group of keys that the new
- * settings widen is not shared yet.
+ * that of the new ones, it can't be told which of them the client uses, and only what both allow is
+ * allowed. Guards against an effect that happens twice: a group of keys that the new settings widen
+ * is not shared yet.
  */
 final class RequestPolicyResolver {
   /** Time for which replaced settings are respected. */
--- a/src/test/java/leadferry/CiScriptTest.java
+++ b/src/test/java/leadferry/CiScriptTest.java
@@ -13,8 +13,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * Runs {@code .ci/run} with a stand-in for Maven that records its arguments. Guards against known
- * faults that hide other tests: exactly the listed tests are passed over, and all are printed.
+ * Runs {@code .ci/run} with a fake Maven that records its arguments. Guards against known faults
+ * that hide other tests: exactly the listed tests are passed over, and all are printed.
  */
 class CiScriptTest {
   private static final String VERIFY = "-B verify";
