--- a/src/test/java/leadferry/CiScriptTest.java
+++ b/src/test/java/leadferry/CiScriptTest.java
@@ -43,7 +43,8 @@
   /** Runs the script with this list and returns the arguments of its last call of Maven. */
   private String run(String... knownFaults) throws Exception {
     if (knownFaults.length > 0) {
-      Files.write(folder.resolve("KNOWN-RED.txt"), List.of(knownFaults));
+      // The last line has no line end.
+      Files.writeString(folder.resolve("KNOWN-RED.txt"), String.join("\n", knownFaults));
     }
     Path printed = folder.resolve("printed");
     ProcessBuilder builder = new ProcessBuilder("bash", folder.resolve(".ci/run").toString());
