--- a/src/main/java/leadferry/daemon/DaemonRequestFilter.java
+++ b/src/main/java/leadferry/daemon/DaemonRequestFilter.java
@@ -214,7 +214,6 @@
           new FilterResult.Origin(route.name(), className, decision.refusedBy()));
     }
     String pool = rule.target().split().pick(splitKey(route, headers, tenant, address));
-    boolean idempotent = requestClass.semantics() == Settings.Semantics.IDEMPOTENT;
     RequestArrival arrival =
         new RequestArrival(
             0,
@@ -235,7 +234,7 @@
     return FilterResult.forward(
         dispatcher,
         arrival,
-        fallbackPools(route.fallback(), 0, pool, arrival, idempotent),
+        fallbackPools(route.fallback(), 0, pool, arrival),
         route.stream() ? Streaming.ALWAYS : Streaming.NEVER,
         origin,
         decision::release);
@@ -262,22 +261,22 @@
   }
 
   private FallbackPools fallbackPools(
-      List<String> names, int from, String first, RequestArrival arrival, boolean idempotent) {
+      List<String> names, int from, String first, RequestArrival arrival) {
     if (from >= names.size()) {
       return null;
     }
+    Settings.RequestClass requestClass = arrival.policy().requestClass();
     return mayHaveRun -> {
-      if (mayHaveRun && !idempotent) {
+      if (mayHaveRun && requestClass.semantics() != Settings.Semantics.IDEMPOTENT) {
         return null;
       }
       for (int index = from; index < names.size(); index++) {
         Dispatcher dispatcher =
             names.get(index).equals(first) ? null : worker.dispatcher(names.get(index));
         if (dispatcher != null) {
-          RequestArrival next =
-              arrival.withPolicy(policyIn(names.get(index), arrival.policy().requestClass()));
+          RequestArrival next = arrival.withPolicy(policyIn(names.get(index), requestClass));
           return new FallbackPools.NextPool(
-              dispatcher, next, fallbackPools(names, index + 1, first, arrival, idempotent));
+              dispatcher, next, fallbackPools(names, index + 1, first, arrival));
         }
       }
       return null;
--- a/src/main/java/leadferry/engine/Dispatcher.java
+++ b/src/main/java/leadferry/engine/Dispatcher.java
@@ -19,6 +19,7 @@
 import leadferry.loadbalancer.LoadBalancerActions;
 import leadferry.loadbalancer.LoadReport;
 import leadferry.loadbalancer.RequestArrival;
+import leadferry.loadbalancer.RequestPolicy;
 import leadferry.loadbalancer.Settings;
 
 /**
@@ -175,8 +176,8 @@
     return retryGate.getAsBoolean();
   }
 
-  int maxAttempts() {
-    return settings.limits().maxAttempts();
+  int maxAttempts(RequestPolicy policy) {
+    return policy.maxAttempts(settings.limits());
   }
 
   /**
--- a/src/main/java/leadferry/engine/Exchange.java
+++ b/src/main/java/leadferry/engine/Exchange.java
@@ -138,7 +138,7 @@
 
   private boolean canStartLast() {
     return call.isReplayable()
-        && attempts.size() <= Math.min(policy.maxAttempts(), dispatcher.maxAttempts())
+        && attempts.size() <= dispatcher.maxAttempts(policy)
         && (attempts.size() == 1 || dispatcher.isRetryAllowed());
   }
 
--- a/src/main/java/leadferry/http/DisconnectDetector.java
+++ b/src/main/java/leadferry/http/DisconnectDetector.java
@@ -13,7 +13,7 @@
  */
 final class DisconnectDetector {
   /** Maximum pipelined input (bytes) that is discarded before reading pauses. */
-  private static final int MAX_DISCARDED_BYTES_PER_INTERVAL = 1 << 20;
+  private static final int MAX_DISCARDED_BYTES_BEFORE_PAUSE = 1 << 20;
 
   /**
    * Length (ms) of the pause. The end of the stream has to be read within 100 ms, even if it stands
@@ -61,7 +61,7 @@
   /** Discards pipelined input; beyond the limit, reading pauses. */
   void discard(Object message) {
     discardedBytes += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
-    if (discardedBytes > MAX_DISCARDED_BYTES_PER_INTERVAL) {
+    if (discardedBytes > MAX_DISCARDED_BYTES_BEFORE_PAUSE) {
       discardedBytes = 0;
       channel.config().setAutoRead(false);
       channel
--- a/src/main/java/leadferry/http/RequestIntake.java
+++ b/src/main/java/leadferry/http/RequestIntake.java
@@ -38,7 +38,7 @@
   private static final double MAX_UPLOAD_MILLIS = 3_600_000;
 
   /** Minimum remaining time (ms) of a request that is forwarded; with less, it is rejected. */
-  private static final double MIN_REMAINING_MILLIS = 1;
+  static final double MIN_REMAINING_MILLIS = 1;
 
   private static final double NANOS_PER_MILLI = 1e6;
 
@@ -274,8 +274,7 @@
     } else if (upload != null) {
       completeUpload(trailers);
     } else {
-      double lastByteAgeMillis = unreadDeadline.lastByteAgeMillis();
-      unreadDeadline.stop();
+      double lastByteAgeMillis = unreadDeadline.onLastByteRead();
       completeHeld(trailers, receivedAtNanos, lastByteAgeMillis);
     }
   }
@@ -286,8 +285,7 @@
     // Reading may be paused for lack of capacity. It resumes here, so that a disconnect of the
     // client is detected.
     channel.config().setAutoRead(true);
-    double lastByteAgeMillis = unreadDeadline.lastByteAgeMillis();
-    unreadDeadline.stop();
+    double lastByteAgeMillis = unreadDeadline.onLastByteRead();
     if (client.call() != null) {
       client.call().onUploadComplete(lastByteAgeMillis);
     }
--- a/src/main/java/leadferry/http/UnreadBodyDeadline.java
+++ b/src/main/java/leadferry/http/UnreadBodyDeadline.java
@@ -11,9 +11,6 @@
  * <p>Used only on the connection's event loop.
  */
 final class UnreadBodyDeadline {
-  /** Minimum remaining time (ms) of a request that is worth waiting for. */
-  private static final double MIN_REMAINING_MILLIS = 1;
-
   private static final double NANOS_PER_MILLI = 1e6;
 
   private final ClientConnection client;
@@ -57,7 +54,7 @@
 
   private void rejectIfDue(RequestBodyBuffer buffer, double budgetMillis) {
     double unreadMillis = unreadInput.unreadNanos(System.nanoTime()) / NANOS_PER_MILLI;
-    if (buffer.isPaused() && unreadMillis >= budgetMillis - MIN_REMAINING_MILLIS) {
+    if (buffer.isPaused() && unreadMillis >= budgetMillis - RequestIntake.MIN_REMAINING_MILLIS) {
       unreadInput.stop();
       client.logUnreadBody(buffer.heldBytes(), unreadInput.unreadBytes(), unreadMillis);
       server.recordMemoryRejection();
@@ -65,13 +62,15 @@
     }
   }
 
-  /** Ends the guard: the request is over, or its last byte has been read. */
+  /** Ends the guard: the request is over. */
   void stop() {
     unreadInput.stop();
   }
 
-  /** Returns the time (ms) for which the last byte, which has just been read, was unread. */
-  double lastByteAgeMillis() {
-    return unreadInput.lastByteAgeNanos(System.nanoTime()) / NANOS_PER_MILLI;
+  /** Ends the guard; returns the time (ms) for which the last byte was unread. */
+  double onLastByteRead() {
+    double ageMillis = unreadInput.lastByteAgeNanos(System.nanoTime()) / NANOS_PER_MILLI;
+    unreadInput.stop();
+    return ageMillis;
   }
 }
--- a/src/main/java/leadferry/http/UnreadInputWatch.java
+++ b/src/main/java/leadferry/http/UnreadInputWatch.java
@@ -38,7 +38,7 @@
   }
 
   /**
-   * Starts to watch the current request, unless it is watched already.
+   * Starts to watch the current request, or goes on to watch it with another count of its bytes.
    *
    * @param received the number of bytes of its body that have been read
    * @param checked called after each check
--- a/src/main/java/leadferry/loadbalancer/LoadBalancer.java
+++ b/src/main/java/leadferry/loadbalancer/LoadBalancer.java
@@ -3,9 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.stream.Collectors;
 
 /**
  * Makes the load-balancing decisions of one client proxy. The caller passes in events with the time
@@ -77,7 +75,7 @@
     this.terminationPolicy = new TerminationPolicy(context, idempotencyPolicy);
     this.outcomeObserver = new OutcomeObserver(context, outlierDetector, classEjections);
     this.watchBackoff = new WatchBackoff(context);
-    tenantQuotas.onSettings();
+    onSettings(settings);
   }
 
   /**
@@ -87,12 +85,9 @@
   public void onSettings(Settings newSettings) {
     settings.set(newSettings);
     tenantQuotas.onSettings();
-    Set<String> classNames =
-        newSettings.classes().stream()
-            .map(Settings.RequestClass::name)
-            .collect(Collectors.toUnmodifiableSet());
-    latencyEstimates.keySet().retainAll(classNames);
     policies.clear();
+    policies.putAll(newSettings.policies());
+    latencyEstimates.keySet().retainAll(policies.keySet());
   }
 
   /**
@@ -144,12 +139,16 @@
   }
 
   /**
-   * Returns {@link Settings#policyOf} under the settings in force. Later requests of an unknown
-   * class get the policy of the first one.
+   * Returns the policy of the class with this name under the settings in force. An unknown class is
+   * treated as at-most-once, the strictest semantics, with {@code budgetMillis} of its first
+   * request as its time limit.
    */
   public RequestPolicy policyOf(String className, double budgetMillis) {
     return policies.computeIfAbsent(
-        className, name -> settings.current().policyOf(name, budgetMillis));
+        className,
+        name ->
+            RequestPolicy.of(
+                Settings.RequestClass.unknown(name, budgetMillis), settings.current().limits()));
   }
 
   private LatencyEstimate latencyEstimateOf(Settings.RequestClass requestClass) {
--- a/src/main/java/leadferry/loadbalancer/RequestPolicy.java
+++ b/src/main/java/leadferry/loadbalancer/RequestPolicy.java
@@ -28,7 +28,7 @@
   }
 
   /** Returns the maximum number of attempts that both this policy and {@code limits} allow. */
-  int maxAttempts(Settings.Limits limits) {
+  public int maxAttempts(Settings.Limits limits) {
     return Math.min(maxAttempts, limits.maxAttempts());
   }
 
--- a/src/main/java/leadferry/loadbalancer/Settings.java
+++ b/src/main/java/leadferry/loadbalancer/Settings.java
@@ -1,6 +1,8 @@
 package leadferry.loadbalancer;
 
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * Configuration of a load balancer as the deployment states it. All times are milliseconds.
@@ -105,17 +107,14 @@
         .orElse(DEFAULT_OBJECTIVE_MILLIS);
   }
 
-  /**
-   * Returns the policy of the class with this name. An unknown class is treated as at-most-once,
-   * the strictest semantics, with {@code budgetMillis} as its time limit.
-   */
-  public RequestPolicy policyOf(String className, double budgetMillis) {
-    for (RequestClass requestClass : classes) {
-      if (requestClass.name().equals(className)) {
-        return RequestPolicy.of(requestClass, limits);
-      }
-    }
-    return RequestPolicy.of(RequestClass.unknown(className, budgetMillis), limits);
+  /** Returns the policy of each class, by the name of the class. */
+  public Map<String, RequestPolicy> policies() {
+    return classes.stream()
+        .collect(
+            Collectors.toMap(
+                RequestClass::name,
+                requestClass -> RequestPolicy.of(requestClass, limits),
+                (first, repeated) -> first));
   }
 
   /**
--- a/src/main/java/leadferry/proxy/RequestPolicyResolver.java
+++ b/src/main/java/leadferry/proxy/RequestPolicyResolver.java
@@ -2,9 +2,8 @@
 
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
-import java.util.List;
+import java.util.Map;
 import leadferry.loadbalancer.RequestPolicy;
 import leadferry.loadbalancer.Settings;
 
@@ -28,27 +27,26 @@
   /** Time for which replaced settings are respected. */
   static final long TRANSITION_MILLIS = 2_500;
 
-  private final Deque<Settings> replacedSettings = new ArrayDeque<>();
-  private Settings current;
+  /** Policies by class name: those of the current settings, then of replaced ones, newest first. */
+  private final Deque<Map<String, RequestPolicy>> versions = new ArrayDeque<>();
 
   RequestPolicyResolver(Settings first) {
-    current = first;
+    versions.addFirst(first.policies());
   }
 
   /** Replaces the settings. */
   void replaceSettings(Settings next) {
-    replacedSettings.addLast(current);
-    current = next;
+    versions.addFirst(next.policies());
   }
 
   /** Drops the settings that were replaced first of all that are still respected. */
   void dropOldestReplaced() {
-    replacedSettings.removeFirst();
+    versions.removeLast();
   }
 
   /** Whether any settings have a class of this name. */
   boolean isKnown(String name) {
-    return !declarations(name).isEmpty();
+    return versions.stream().anyMatch(policies -> policies.containsKey(name));
   }
 
   /**
@@ -56,31 +54,14 @@
    * this name has its form.
    */
   RequestPolicy resolve(String name, HttpMethod method, boolean keyed) {
-    RequestPolicy policy = null;
-    for (RequestPolicy declared : declarations(name)) {
-      if (matchesForm(declared.requestClass(), method, keyed)) {
-        policy = policy == null ? declared : policy.strictest(declared);
-      }
-    }
-    return policy;
-  }
-
-  /** Returns the policies of the classes with this name, those of the current settings first. */
-  private List<RequestPolicy> declarations(String name) {
-    List<RequestPolicy> found = new ArrayList<>(1);
-    addDeclaration(name, current, found);
-    for (Settings replaced : replacedSettings) {
-      addDeclaration(name, replaced, found);
-    }
-    return found;
-  }
-
-  private static void addDeclaration(String name, Settings settings, List<RequestPolicy> found) {
-    for (Settings.RequestClass requestClass : settings.classes()) {
-      if (requestClass.name().equals(name)) {
-        found.add(RequestPolicy.of(requestClass, settings.limits()));
+    RequestPolicy resolved = null;
+    for (Map<String, RequestPolicy> policies : versions) {
+      RequestPolicy policy = policies.get(name);
+      if (policy != null && matchesForm(policy.requestClass(), method, keyed)) {
+        resolved = resolved == null ? policy : resolved.strictest(policy);
       }
     }
+    return resolved;
   }
 
   /** Whether a request has the method of the class, and a key if the class needs one. */
--- a/src/test/java/leadferry/engine/EngineFixture.java
+++ b/src/test/java/leadferry/engine/EngineFixture.java
@@ -129,8 +129,7 @@
         () -> {
           dispatcher.submit(
               new OneByteCall(),
-              new RequestArrival(
-                  0, settings.policyOf("c", 60_000), null, 60_000, Double.NaN, false),
+              new RequestArrival(0, settings.policies().get("c"), null, 60_000, Double.NaN, false),
               null);
           return null;
         });
