Let the sabotaged soak run send only unsafe requests, so that its duplicate is certain

Its host rejects each request after it ran; the proxy ejects it at once, so four of 470 requests reach it in three seconds, and each is unsafe only by the toss of a coin. With four keyed ones nothing ran twice that must not: the judge was right, the run was without the fault.

Change: the profile of the clients may ask for unsafe requests only, and this run does. The assertion, the seed, the length and the slack are as they were; the judge still has to find a handful of duplicates among 470 requests. Other plans draw the same random numbers as before.

SoakJudgeTest and DaemonAcceptTest pass.

--- a/src/test/java/leadferry/soak/DaemonAcceptTest.java
+++ b/src/test/java/leadferry/soak/DaemonAcceptTest.java
@@ -99,7 +99,7 @@
       upstreams.add(new RecordingUpstream("s" + i, 0, 10, history, threads, i));
     }
     start(transport, upstreams, library.get());
-    SoakClient.Profile habits = new SoakClient.Profile(50, 1, 0, DEADLINE_MS, DEADLINE_MS);
+    SoakClient.Profile habits = new SoakClient.Profile(50, 1, 0, DEADLINE_MS, DEADLINE_MS, false);
     List<Thread> clients = new ArrayList<>();
     for (int i = 0; i < CLIENTS; i++) {
       Thread client = new Thread(new SoakClient("c" + i, 0, habits, target, history, i));
--- a/src/test/java/leadferry/soak/SoakClient.java
+++ b/src/test/java/leadferry/soak/SoakClient.java
@@ -27,13 +27,21 @@
    * @param disconnectShare the share of requests whose client disconnects before the response
    * @param unsafeDeadlineMs the deadline in milliseconds of requests that must not run twice
    * @param keyedDeadlineMs the deadline in milliseconds of requests with an idempotency key
+   * @param onlyUnsafe whether all requests must not run twice, and not just half of them
    */
   record Profile(
       double thinkMs,
       double newConnectionShare,
       double disconnectShare,
       int unsafeDeadlineMs,
-      int keyedDeadlineMs) {}
+      int keyedDeadlineMs,
+      boolean onlyUnsafe) {
+    /** Returns this profile with requests that must not run twice only. */
+    Profile withOnlyUnsafe() {
+      return new Profile(
+          thinkMs, newConnectionShare, disconnectShare, unsafeDeadlineMs, keyedDeadlineMs, true);
+    }
+  }
 
   /**
    * What a client knows about its proxy process, because the platform starts and stops both
@@ -88,7 +96,7 @@
   }
 
   private void sendRequest(String id) throws InterruptedException {
-    boolean unsafe = random.nextBoolean();
+    boolean unsafe = random.nextBoolean() || profile.onlyUnsafe();
     int deadlineMs = unsafe ? profile.unsafeDeadlineMs() : profile.keyedDeadlineMs();
     boolean disconnects = random.nextDouble() < profile.disconnectShare();
     long disconnectAfterMs = (long) (random.nextDouble() * MAX_DISCONNECT_SHARE * deadlineMs);
--- a/src/test/java/leadferry/soak/SoakJudgeTest.java
+++ b/src/test/java/leadferry/soak/SoakJudgeTest.java
@@ -186,8 +186,12 @@
             SoakPlan.EventKind.SET_BEHAVIOUR,
             0,
             RecordingUpstream.Behaviour.REJECT_AFTER_RUN.ordinal());
+    // The proxy ejects the host after its first rejection, so few requests reach it: a run in which
+    // only some of them are unsafe may have no duplicate.
     SoakPlan plan =
-        SoakPlan.steady(32, LENGTH_MS, List.of()).withSabotage(SoakPlan.Sabotage.NONE, deny);
+        SoakPlan.steady(32, LENGTH_MS, List.of())
+            .withOnlyUnsafeRequests()
+            .withSabotage(SoakPlan.Sabotage.NONE, deny);
     assertThat(brokenRulesOfRun(plan, false)).containsExactly(Rule.DUPLICATE);
   }
 
--- a/src/test/java/leadferry/soak/SoakPlan.java
+++ b/src/test/java/leadferry/soak/SoakPlan.java
@@ -128,7 +128,7 @@
    * use a new connection.
    */
   static SoakPlan steady(long seed, long durationMs, List<SystemCallFault> faults) {
-    SoakClient.Profile habits = new SoakClient.Profile(60, 0.5, 0, 800, 1_200);
+    SoakClient.Profile habits = new SoakClient.Profile(60, 0.5, 0, 800, 1_200, false);
     return new SoakPlan(
         seed,
         durationMs,
@@ -169,6 +169,27 @@
         newSabotage);
   }
 
+  /** Returns this run with requests that must not run twice only. */
+  SoakPlan withOnlyUnsafeRequests() {
+    return new SoakPlan(
+        seed,
+        durationMs,
+        proxies,
+        upstreams,
+        clientsPerProxy,
+        stalledClientsPerProxy,
+        descriptorLimit,
+        serviceMs,
+        drainGraceMs,
+        maxAttempts,
+        cancel,
+        clientProfile.withOnlyUnsafe(),
+        systemCallFaults,
+        clockStep,
+        events,
+        sabotage);
+  }
+
   /** Returns a random run that is determined by the seed. */
   static SoakPlan fromSeed(long seed, long durationMs, int proxies) {
     Random random = new Random(seed);
@@ -181,7 +202,8 @@
             random.nextDouble(),
             random.nextInt(3) == 0 ? 0.3 * random.nextDouble() : 0,
             unsafeDeadlineMs,
-            unsafeDeadlineMs + random.nextInt(1_400));
+            unsafeDeadlineMs + random.nextInt(1_400),
+            false);
     List<SystemCallFault> faults = new ArrayList<>();
     for (int i = random.nextInt(MAX_FAULTS + 1); i > 0; i--) {
       faults.add(randomFault(random));
