refactor: Give the dispatcher's event queue a class of its own

Change: EventQueue runs a pool's events one at a time and hands on the failure of one; Dispatcher says what happens before each and on a failure. No behaviour changes.

--- a/src/main/java/leadferry/engine/Dispatcher.java
+++ b/src/main/java/leadferry/engine/Dispatcher.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -34,8 +33,6 @@
    */
   private static final double CLOCK_START = 1e9;
 
-  private record Event(Exchange exchange, Runnable action) {}
-
   private final String name;
   private final EventLoop loop;
   private final Log log;
@@ -46,9 +43,8 @@
   private final LoadBalancer balancer;
   private final long startedAt = System.nanoTime();
   private final Map<Long, Exchange> exchanges = new HashMap<>();
-  private final ArrayDeque<Event> events = new ArrayDeque<>();
+  private final EventQueue events;
   private final Set<String> ejectedNames = new HashSet<>(2);
-  private boolean isRunning;
   private long nextRequestId;
   private Runnable watchOpener = () -> {};
   private BooleanSupplier retryGate = () -> true;
@@ -77,6 +73,7 @@
     this.bodyBudget = bodyBudget;
     this.reporter = new OutcomeReporter(log);
     this.hosts = new UpstreamHosts(new ServerStartClock(System::currentTimeMillis, now()));
+    this.events = new EventQueue(this::reportReadLag, this::onEventFailed);
     this.balancer = new LoadBalancer(settings, seed, this);
   }
 
@@ -125,7 +122,7 @@
    * exclusion.
    */
   void onPeerHint(long host, double durationMillis) {
-    deliver(null, () -> balancer.onGossip(now(), host, durationMillis));
+    events.deliver(null, () -> balancer.onGossip(now(), host, durationMillis));
   }
 
   /**
@@ -203,7 +200,7 @@
    */
   public void start(UpstreamHosts.ListUpdate cached, Runnable watchOpener) {
     this.watchOpener = watchOpener;
-    deliver(null, () -> balancer.onStart(now()));
+    events.deliver(null, () -> balancer.onStart(now()));
     onEndpointList(EndpointListEvent.CACHED, cached);
   }
 
@@ -211,7 +208,7 @@
   public void onEndpointList(EndpointListEvent kind, UpstreamHosts.ListUpdate update) {
     UpstreamHosts.Change change = hosts.apply(update, now());
     List<EndpointUpdate> entries = change.entries();
-    deliver(null, () -> balancer.onEndpointList(now(), kind, entries));
+    events.deliver(null, () -> balancer.onEndpointList(now(), kind, entries));
     if (suspicions != null) {
       suspicions.onEndpointList(kind, entries, change.invalidated());
     }
@@ -243,7 +240,7 @@
     if (suspicions != null) {
       suspicions.onSettings(next.shortestObjectiveMillis());
     }
-    deliver(null, () -> balancer.onSettings(next));
+    events.deliver(null, () -> balancer.onSettings(next));
   }
 
   /** Records that discovery has just reported that the current list is still the newest. */
@@ -253,7 +250,7 @@
 
   /** Reports that the watch broke or could not be opened. */
   public void onWatchFailed() {
-    deliver(
+    events.deliver(
         null,
         () ->
             balancer.onEndpointList(now(), leadferry.loadbalancer.EndpointListEvent.FAILED, null));
@@ -269,7 +266,7 @@
         new Exchange(id, this, call, arrival.policy(), now() + arrival.budgetMillis(), fallback);
     exchanges.put(id, exchange);
     RequestArrival numbered = arrival.withId(id);
-    deliver(exchange, () -> balancer.onRequest(now(), numbered));
+    events.deliver(exchange, () -> balancer.onRequest(now(), numbered));
   }
 
   void onAttemptOutcome(
@@ -284,7 +281,7 @@
       suspicions.onResponse(now(), attempt.host.id);
     }
     reporter.onAttemptEnded(exchange, attempt, outcome, spentMillis);
-    deliver(
+    events.deliver(
         exchange,
         () ->
             balancer.onOutcome(
@@ -292,40 +289,23 @@
   }
 
   void onFirstByte(Exchange exchange, int number, double spentMillis) {
-    deliver(exchange, () -> balancer.onFirstByte(now(), exchange.id, number, spentMillis));
+    events.deliver(exchange, () -> balancer.onFirstByte(now(), exchange.id, number, spentMillis));
   }
 
   void onClientDisconnect(Exchange exchange) {
-    deliver(exchange, () -> balancer.onClientDisconnect(now(), exchange.id));
+    events.deliver(exchange, () -> balancer.onClientDisconnect(now(), exchange.id));
   }
 
-  private void deliver(Exchange exchange, Runnable action) {
-    events.add(new Event(exchange, action));
-    if (isRunning) {
-      return;
-    }
-    isRunning = true;
-    try {
-      Event event;
-      while ((event = events.poll()) != null) {
-        handle(event);
-      }
-    } finally {
-      isRunning = false;
-    }
+  private void reportReadLag() {
+    balancer.onReadUntil(now() - ReadLagTracker.lagNanos() / 1e6);
   }
 
-  private void handle(Event event) {
-    try {
-      balancer.onReadUntil(now() - ReadLagTracker.lagNanos() / 1e6);
-      event.action().run();
-    } catch (RuntimeException failure) {
-      // Guards against one faulty event that ends the process: only its own request fails.
-      log.failure("load balancer failed to process an event", failure);
-      if (event.exchange() != null && !event.exchange().isResolved()) {
-        event.exchange().fail();
-        onClientDisconnect(event.exchange());
-      }
+  /** Handles an event that the load balancer failed to process: only its own request fails. */
+  private void onEventFailed(Exchange exchange, RuntimeException failure) {
+    log.failure("load balancer failed to process an event", failure);
+    if (exchange != null && !exchange.isResolved()) {
+      exchange.fail();
+      onClientDisconnect(exchange);
     }
   }
 
@@ -391,7 +371,8 @@
 
   @Override
   public void schedule(double delayMillis, long token) {
-    Runnable event = () -> deliver(exchanges.get(token), () -> balancer.onTimer(now(), token));
+    Runnable event =
+        () -> events.deliver(exchanges.get(token), () -> balancer.onTimer(now(), token));
     Exchange exchange = exchanges.get(token);
     if (exchange != null) {
       exchange.schedule(delayMillis, event);
