refactor: Read a request's target in a class of its own in the daemon

Need: DaemonRequestFilter is on ROADMAP's list of large files, and read Host, absolute form and query beside its routing. No behaviour changes.

--- a/src/main/java/leadferry/daemon/DaemonRequestFilter.java
+++ b/src/main/java/leadferry/daemon/DaemonRequestFilter.java
@@ -1,14 +1,11 @@
 package leadferry.daemon;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -35,13 +32,6 @@
  * reject a request before any attempt; it sends nothing itself.
  */
 final class DaemonRequestFilter implements RequestFilter {
-  /**
-   * Maximum length of a {@code Host} value: a name, or an address in brackets, with an optional
-   * port.
-   */
-  private static final int MAX_HOST_LENGTH = 255;
-
-  private static final String HTTP_SCHEME = "http://";
   private static final FilterResult.Origin NO_ROUTE = new FilterResult.Origin(null, null, null);
 
   private final Worker worker;
@@ -106,7 +96,7 @@
 
   @Override
   public FilterResult evaluate(HttpRequest head, InetSocketAddress client) {
-    if (!convertToOriginForm(head)) {
+    if (!RequestTarget.convertToOriginForm(head)) {
       return FilterResult.reject(400);
     }
     String uri = head.uri();
@@ -119,8 +109,10 @@
     int query = uri.indexOf('?');
     NormalizedPath path =
         NormalizedPath.normalize(query < 0 ? uri : uri.substring(0, query), listener.pathMode());
-    String host = requestedHost(head);
-    if (path == null || host == null || (query >= 0 && !hasOnlyQueryCharacters(uri, query))) {
+    String host = RequestTarget.requestedHost(head);
+    if (path == null
+        || host == null
+        || (query >= 0 && !RequestTarget.hasOnlyQueryCharacters(uri, query))) {
       return FilterResult.reject(400);
     }
     view.head = head;
@@ -136,35 +128,6 @@
     return route(head, client, path, query < 0 ? "" : uri.substring(query), rule);
   }
 
-  /**
-   * Rewrites an absolute-form target to origin form (RFC 9112, 3.2.2). The target's authority
-   * replaces the {@code Host} header before any rule reads either.
-   *
-   * @return false if the target can't be served here
-   */
-  private static boolean convertToOriginForm(HttpRequest head) {
-    String uri = head.uri();
-    if (!uri.regionMatches(true, 0, HTTP_SCHEME, 0, HTTP_SCHEME.length())) {
-      return true;
-    }
-    int authorityEnd = HTTP_SCHEME.length();
-    while (authorityEnd < uri.length()
-        && uri.charAt(authorityEnd) != '/'
-        && uri.charAt(authorityEnd) != '?') {
-      authorityEnd++;
-    }
-    String authority = uri.substring(HTTP_SCHEME.length(), authorityEnd);
-    boolean isHttp10 = head.protocolVersion().equals(HttpVersion.HTTP_1_0);
-    if (authority.isEmpty()
-        || (!isHttp10 && Framing.singleValue(head.headers(), HttpHeaderNames.HOST) == null)) {
-      return false; // HTTP/1.1 requires a Host header with an absolute-form target too
-    }
-    head.headers().set(HttpHeaderNames.HOST, authority);
-    String rest = uri.substring(authorityEnd);
-    head.setUri(rest.startsWith("/") ? rest : "/" + rest);
-    return true;
-  }
-
   private FilterResult route(
       HttpRequest head,
       InetSocketAddress client,
@@ -323,60 +286,4 @@
       headers.set(header.getKey(), header.getValue());
     }
   }
-
-  /**
-   * Returns the requested host in lower case without port and trailing dot, or null if it is
-   * invalid.
-   */
-  private static String requestedHost(HttpRequest head) {
-    String host = Framing.singleValue(head.headers(), HttpHeaderNames.HOST);
-    if (head.protocolVersion().equals(HttpVersion.HTTP_1_0)
-        && !head.headers().contains(HttpHeaderNames.HOST)) {
-      // The request is forwarded as HTTP/1.1, which requires a Host header.
-      head.headers().set(HttpHeaderNames.HOST, "");
-      return "";
-    }
-    if (host == null || host.length() > MAX_HOST_LENGTH) {
-      return null;
-    }
-    int end = host.length();
-    boolean hasUpperCase = false;
-    boolean isBracketed = host.startsWith("[");
-    for (int i = 0; i < end; i++) {
-      char character = host.charAt(i);
-      if (character == ':' && (!isBracketed || host.charAt(i - 1) == ']')) {
-        for (int j = i + 1; j < host.length(); j++) {
-          if (host.charAt(j) < '0' || host.charAt(j) > '9') {
-            return null;
-          }
-        }
-        end = i;
-      } else if (character >= 'A' && character <= 'Z') {
-        hasUpperCase = true;
-      } else if (!((character >= 'a' && character <= 'z')
-          || (character >= '0' && character <= '9')
-          || character == '.'
-          || character == '-'
-          || character == '_'
-          || (isBracketed && (character == '[' || character == ']' || character == ':')))) {
-        return null;
-      }
-    }
-    end -= end > 0 && host.charAt(end - 1) == '.' ? 1 : 0;
-    if (end == 0 || (isBracketed && host.charAt(end - 1) != ']')) {
-      return null;
-    }
-    String name = end == host.length() ? host : host.substring(0, end);
-    return hasUpperCase ? name.toLowerCase(Locale.ROOT) : name;
-  }
-
-  private static boolean hasOnlyQueryCharacters(String uri, int from) {
-    for (int i = from; i < uri.length(); i++) {
-      char character = uri.charAt(i);
-      if (character <= ' ' || character == 0x7f || character == '#') {
-        return false;
-      }
-    }
-    return true;
-  }
 }
