Let the daemon's replaced pools follow drains until their last request has ended

Change: a replaced pool gets each later list of its name (or its own without what the fleet drains, if the name is gone) and stays until no request uses or awaits it.

Measured: ReplacedPoolTest, 5 of 5 tests failed before (attempts at 'draining', 503, a connection open after 20 s), 5 of 5 pass now, six runs in a row. DaemonTest, ConnectionsTest, StreamingTest, TransparencyTest and the fuzz test pass (130 run).

--- a/src/main/java/leadferry/daemon/ConfigurationSnapshot.java
+++ b/src/main/java/leadferry/daemon/ConfigurationSnapshot.java
@@ -159,6 +159,36 @@
     }
   }
 
+  /**
+   * Returns the endpoints for requests that a replaced pool still serves: those of the pool with
+   * its name. If there is none any more, they are the earlier ones, of which those that the fleet's
+   * state holds out of service get no new requests.
+   */
+  UpstreamHosts.ListUpdate endpointsOfReplacedPool(
+      String pool, UpstreamHosts.ListUpdate earlierEndpoints) {
+    PoolSnapshot replacement = pools.get(pool);
+    if (replacement != null) {
+      return replacement.endpoints();
+    }
+    List<UpstreamHosts.Member> members =
+        earlierEndpoints.members().stream()
+            .map(member -> drainedEndpoints.contains(member.name()) ? terminating(member) : member)
+            .toList();
+    return new UpstreamHosts.ListUpdate(version, true, members);
+  }
+
+  private static UpstreamHosts.Member terminating(UpstreamHosts.Member member) {
+    return new UpstreamHosts.Member(
+        member.name(),
+        member.address(),
+        member.zone(),
+        member.kind(),
+        member.cell(),
+        EndpointUpdate.Condition.TERMINATING,
+        member.weight(),
+        member.startedUnixMs());
+  }
+
   private static Set<String> headersUsedByRoutes(DaemonConfig config) {
     Set<String> names = new HashSet<>();
     for (DaemonConfig.Route route : config.routes()) {
--- a/src/main/java/leadferry/daemon/Worker.java
+++ b/src/main/java/leadferry/daemon/Worker.java
@@ -16,6 +16,7 @@
 import leadferry.engine.SocketBudget;
 import leadferry.engine.Transport;
 import leadferry.engine.UpstreamConnectionPool;
+import leadferry.engine.UpstreamHosts;
 import leadferry.http.HttpProtocol;
 import leadferry.http.HttpServer;
 import leadferry.http.HttpServerSettings;
@@ -34,6 +35,7 @@
     final Dispatcher dispatcher;
     final UpstreamConnectionPool upstreams;
     ConfigurationSnapshot.PoolSnapshot snapshot;
+    UpstreamHosts.ListUpdate endpoints;
 
     WorkerPool(
         Dispatcher dispatcher,
@@ -42,6 +44,14 @@
       this.dispatcher = dispatcher;
       this.upstreams = upstreams;
       this.snapshot = version;
+      this.endpoints = version.endpoints();
+    }
+
+    void updateEndpoints(UpstreamHosts.ListUpdate next) {
+      if (!next.members().equals(endpoints.members())) {
+        dispatcher.onEndpointList(EndpointListEvent.FULL, next);
+      }
+      endpoints = next;
     }
   }
 
@@ -100,14 +110,16 @@
         retiredPools.add(entry.getValue()); // requests that it accepted finish there
       }
     }
+    for (WorkerPool retired : retiredPools) {
+      String name = retired.snapshot.config().name();
+      retired.updateEndpoints(snapshot.endpointsOfReplacedPool(name, retired.endpoints));
+    }
     for (ConfigurationSnapshot.PoolSnapshot poolSnapshot : snapshot.pools.values()) {
       WorkerPool existing = pools.get(poolSnapshot.config().name());
       if (existing == null) {
         pools.put(poolSnapshot.config().name(), startPool(poolSnapshot));
       } else {
-        if (!poolSnapshot.endpoints().members().equals(existing.snapshot.endpoints().members())) {
-          existing.dispatcher.onEndpointList(EndpointListEvent.FULL, poolSnapshot.endpoints());
-        }
+        existing.updateEndpoints(poolSnapshot.endpoints());
         existing.snapshot = poolSnapshot;
         existing.upstreams.updateBounds(poolSnapshot.bounds());
         existing.dispatcher.sweep(); // closes idle connections above a lowered limit at once
@@ -280,9 +292,7 @@
    */
   void addOutcomesTo(com.fasterxml.jackson.databind.node.ObjectNode report) {
     Set<String> listedHosts = new HashSet<>();
-    pools
-        .values()
-        .forEach(p -> p.snapshot.endpoints().members().forEach(m -> listedHosts.add(m.name())));
+    pools.values().forEach(p -> p.endpoints.members().forEach(m -> listedHosts.add(m.name())));
     outcomeCounts.attemptsByHost.keySet().retainAll(listedHosts);
     outcomeCounts.attemptsByHost.forEach(
         (host, by) -> add(by, report.withObject("/hosts").withObjectProperty(host)));
@@ -323,18 +333,30 @@
         || closingServers.stream().anyMatch(c -> c.server().hasPendingRequests());
   }
 
+  /** Removes the replaced pools that no request uses, or will use once it has been received. */
+  private void sweepRetiredPools() {
+    Set<Dispatcher> awaiting = new HashSet<>();
+    servers.values().forEach(server -> server.addAwaitingPoolsTo(awaiting));
+    closingServers.forEach(closing -> closing.server().addAwaitingPoolsTo(awaiting));
+    for (Iterator<WorkerPool> iterator = retiredPools.iterator(); iterator.hasNext(); ) {
+      WorkerPool pool = iterator.next();
+      pool.dispatcher.sweep();
+      if (pool.dispatcher.openRequests() == 0) {
+        pool.dispatcher.closeIdle();
+        if (!awaiting.contains(pool.dispatcher)) {
+          iterator.remove();
+        }
+      }
+    }
+  }
+
   private void sweep() {
     try {
       for (WorkerPool pool : pools.values()) {
         pool.dispatcher.sweep();
       }
-      for (Iterator<WorkerPool> iterator = retiredPools.iterator(); iterator.hasNext(); ) {
-        WorkerPool pool = iterator.next();
-        pool.dispatcher.sweep();
-        if (pool.dispatcher.openRequests() == 0) {
-          pool.dispatcher.closeIdle();
-          iterator.remove();
-        }
+      if (!retiredPools.isEmpty()) {
+        sweepRetiredPools();
       }
       for (HttpServer server : servers.values()) {
         server.enforceTimeouts();
--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import leadferry.engine.Dispatcher;
 
 /**
  * Client connection from its opening to its close. It owns the current request and the connection
@@ -325,6 +326,14 @@
         || state.isClosing();
   }
 
+  /**
+   * Returns the pool of the request that is being received before it enters the engine, or null if
+   * there is no such request.
+   */
+  Dispatcher awaitingPool() {
+    return intake.awaitingPool();
+  }
+
   /** Whether the connection is idle and can have no first request in flight. */
   boolean isClosableAtDrain() {
     return !isBusy() && !timeouts.canFirstRequestBeInFlight();
--- a/src/main/java/leadferry/http/ClientConnections.java
+++ b/src/main/java/leadferry/http/ClientConnections.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import leadferry.engine.Dispatcher;
 
 /**
  * Open connections of one server, oldest first; selects the connection to evict when sockets are
@@ -97,6 +98,16 @@
     return false;
   }
 
+  /** Adds the pools of requests that are still being received to a set. */
+  void addAwaitingPoolsTo(Set<Dispatcher> pools) {
+    for (ClientConnection connection : connections) {
+      Dispatcher pool = connection.awaitingPool();
+      if (pool != null) {
+        pools.add(pool);
+      }
+    }
+  }
+
   /** Enforces the time limits of all connections. */
   void enforceTimeouts() {
     long nowNanos = HttpServer.readUntilNanos();
--- a/src/main/java/leadferry/http/HttpServer.java
+++ b/src/main/java/leadferry/http/HttpServer.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import leadferry.engine.AcceptBackoffHandler;
 import leadferry.engine.BodyBudget;
+import leadferry.engine.Dispatcher;
 import leadferry.engine.Log;
 import leadferry.engine.ReadLagTracker;
 import leadferry.engine.SocketBudget;
@@ -298,6 +299,14 @@
     return connections.hasPendingRequests();
   }
 
+  /**
+   * Adds the pools that filters have selected for requests which are still being received, and
+   * which the pools don't know yet, to a set.
+   */
+  public void addAwaitingPoolsTo(Set<Dispatcher> pools) {
+    connections.addAwaitingPoolsTo(pools);
+  }
+
   /** Enforces the time limits of all connections; must be called several times a second. */
   public void enforceTimeouts() {
     connections.enforceTimeouts();
--- a/src/main/java/leadferry/http/RequestIntake.java
+++ b/src/main/java/leadferry/http/RequestIntake.java
@@ -79,6 +79,15 @@
     return head.filterResult();
   }
 
+  /**
+   * Returns the pool of the request whose body is being received before it enters the engine, or
+   * null if there is no such request.
+   */
+  Dispatcher awaitingPool() {
+    FilterResult result = head.filterResult();
+    return head.request() == null || result == null ? null : result.target();
+  }
+
   /** Returns the streamed body of the current request, or null. */
   RequestBodyUpload upload() {
     return upload;
