--- a/src/main/java/leadferry/daemon/ConfigurationSnapshot.java
+++ b/src/main/java/leadferry/daemon/ConfigurationSnapshot.java
@@ -171,22 +171,17 @@
       return replacement.endpoints();
     }
     List<UpstreamHosts.Member> members =
-        earlierEndpoints.members().stream()
-            .map(member -> drainedEndpoints.contains(member.name()) ? terminating(member) : member)
-            .toList();
+        earlierEndpoints.members().stream().map(this::withoutRequestsIfDrained).toList();
     return new UpstreamHosts.ListUpdate(version, true, members);
   }
 
-  private static UpstreamHosts.Member terminating(UpstreamHosts.Member member) {
-    return new UpstreamHosts.Member(
-        member.name(),
-        member.address(),
-        member.zone(),
-        member.kind(),
-        member.cell(),
-        EndpointUpdate.Condition.TERMINATING,
-        member.weight(),
-        member.startedUnixMs());
+  /**
+   * Returns the endpoint as it is, or without new requests if the fleet holds it out of service.
+   */
+  private UpstreamHosts.Member withoutRequestsIfDrained(UpstreamHosts.Member member) {
+    return drainedEndpoints.contains(member.name())
+        ? member.withCondition(EndpointUpdate.Condition.TERMINATING)
+        : member;
   }
 
   private static Set<String> headersUsedByRoutes(DaemonConfig config) {
@@ -227,16 +222,7 @@
           previousMember != null && previousMember.address().equals(member.address()) && !returned
               ? previousMember.startedUnixMs()
               : version == 1 ? 0 : nowUnixMillis;
-      members.add(
-          new UpstreamHosts.Member(
-              member.name(),
-              member.address(),
-              member.zone(),
-              member.kind(),
-              member.cell(),
-              drained ? EndpointUpdate.Condition.TERMINATING : member.condition(),
-              member.weight(),
-              startedUnixMillis));
+      members.add(withoutRequestsIfDrained(member).withStart(startedUnixMillis));
     }
     boolean sameBudget =
         previous != null
--- a/src/main/java/leadferry/engine/UpstreamHosts.java
+++ b/src/main/java/leadferry/engine/UpstreamHosts.java
@@ -28,7 +28,17 @@
       long cell,
       EndpointUpdate.Condition condition,
       double weight,
-      double startedUnixMs) {}
+      double startedUnixMs) {
+    /** Returns a copy of this entry with another condition. */
+    public Member withCondition(EndpointUpdate.Condition newCondition) {
+      return new Member(name, address, zone, kind, cell, newCondition, weight, startedUnixMs);
+    }
+
+    /** Returns a copy of this entry with another start time. */
+    public Member withStart(double newStartedUnixMs) {
+      return new Member(name, address, zone, kind, cell, condition, weight, newStartedUnixMs);
+    }
+  }
 
   /** List of hosts, or changes to it, validated as a whole before any entry is applied. */
   public record ListUpdate(long version, boolean full, List<Member> members) {}
