test: Share the half-sent upload of the daemon's tests, and the soak's steady run

Change: DaemonFixture.startUpload and completeUpload; SoakPlan.steady takes the clients' profile. No assertion, seed, bound or wait changes.

Measured: SoakJudgeTest, ReplacedPoolTest, DaemonTest pass.

--- a/src/test/java/leadferry/daemon/DaemonFixture.java
+++ b/src/test/java/leadferry/daemon/DaemonFixture.java
@@ -1,5 +1,7 @@
 package leadferry.daemon;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -152,6 +154,21 @@
     }
   }
 
+  /** Sends the head of a request and returns once the daemon has read it. */
+  Socket startUpload(String id) throws IOException {
+    Socket socket = client();
+    ProxyFixture.write(
+        socket, request("PUT", "/x", id, "Content-Length: 4", "Expect: 100-continue"));
+    assertThat(ProxyFixture.readMessage(socket.getInputStream())).startsWith("HTTP/1.1 100");
+    return socket;
+  }
+
+  /** Sends the body of a request of {@link #startUpload} and returns the response. */
+  static String completeUpload(Socket socket) throws IOException {
+    ProxyFixture.write(socket, "body");
+    return ProxyFixture.readMessage(socket.getInputStream());
+  }
+
   /**
    * Sends a request on a new connection and returns the status of the response, or 0 if there is
    * none.
--- a/src/test/java/leadferry/daemon/DaemonTest.java
+++ b/src/test/java/leadferry/daemon/DaemonTest.java
@@ -562,10 +562,7 @@
     String[] pools = {pool("a", "", first), pool("b", "", next)};
     String route = route("r", "/", "class = \"claim\"\npool = \"a\"\nfallback = [\"b\"]");
     fixture.start(LISTENER, CLASSES, pools[0], pools[1], route);
-    try (Socket client = fixture.client()) {
-      ProxyFixture.write(
-          client, request("PUT", "/x", "r", "Content-Length: 4", "Expect: 100-continue"));
-      assertThat(ProxyFixture.readMessage(client.getInputStream())).startsWith("HTTP/1.1 100");
+    try (Socket client = fixture.startUpload("r")) {
       fixture.write(
           LISTENER,
           CLASSES.replace("[class.claim]", "[class.claim]\nrepeat = \"safe\""),
@@ -573,8 +570,7 @@
           pools[1],
           route);
       assertThat(fixture.daemon.reload()).isTrue();
-      ProxyFixture.write(client, "body");
-      assertThat(ProxyFixture.readMessage(client.getInputStream())).startsWith("HTTP/1.1 502");
+      assertThat(DaemonFixture.completeUpload(client)).startsWith("HTTP/1.1 502");
     }
     assertThat(fixture.executionLog.executionsOf("r")).hasSize(1);
   }
--- a/src/test/java/leadferry/daemon/ReplacedPoolTest.java
+++ b/src/test/java/leadferry/daemon/ReplacedPoolTest.java
@@ -53,9 +53,9 @@
   @Test
   void requestReceivedWhileItsPoolIsReplacedIsNotSentToADrainingHost() throws Exception {
     fixture.start(LISTENER, CLASSES, pool("a", "", draining), ROUTE);
-    try (Socket client = startRequest("r")) {
+    try (Socket client = fixture.startUpload("r")) {
       reload(drainingPool(OTHER_SETTING), ROUTE);
-      assertThat(completeRequest(client)).startsWith("HTTP/1.1 200");
+      assertThat(DaemonFixture.completeUpload(client)).startsWith("HTTP/1.1 200");
     }
     assertThat(hostsOf("r")).containsExactly("healthy");
   }
@@ -63,11 +63,11 @@
   @Test
   void requestReceivedLongAfterItsPoolIsReplacedIsNotSentToADrainingHost() throws Exception {
     fixture.start(LISTENER, CLASSES, pool("a", "", draining), ROUTE);
-    try (Socket client = startRequest("r")) {
+    try (Socket client = fixture.startUpload("r")) {
       reload(pool("a", OTHER_SETTING, draining), ROUTE);
       Thread.sleep(SEVERAL_SWEEPS_MILLIS);
       reload(drainingPool(OTHER_SETTING), ROUTE);
-      assertThat(completeRequest(client)).startsWith("HTTP/1.1 200");
+      assertThat(DaemonFixture.completeUpload(client)).startsWith("HTTP/1.1 200");
     }
     assertThat(hostsOf("r")).containsExactly("healthy");
   }
@@ -90,10 +90,10 @@
   @Test
   void requestOfARemovedPoolIsNotSentToAHostThatTheFleetDrains() throws Exception {
     fixture.start(LISTENER, CLASSES, pool("a", "", draining), ROUTE);
-    try (Socket client = startRequest("r")) {
+    try (Socket client = fixture.startUpload("r")) {
       reload(pool("b", "", healthy), ROUTE.replace("\"a\"", "\"b\""));
       fixture.daemon.applyFleetView(Set.of("draining"), false);
-      assertThat(completeRequest(client)).startsWith("HTTP/1.1 503");
+      assertThat(DaemonFixture.completeUpload(client)).startsWith("HTTP/1.1 503");
     }
     assertThat(hostsOf("r")).isEmpty();
   }
@@ -101,10 +101,10 @@
   @Test
   void requestOfARemovedPoolIsSentToItsHostsAndLeavesNoConnection() throws Exception {
     fixture.start(LISTENER, CLASSES, pool("a", "", healthy), ROUTE);
-    try (Socket client = startRequest("r")) {
+    try (Socket client = fixture.startUpload("r")) {
       reload(pool("b", "", draining), ROUTE.replace("\"a\"", "\"b\""));
       Thread.sleep(SEVERAL_SWEEPS_MILLIS);
-      assertThat(completeRequest(client)).startsWith("HTTP/1.1 200");
+      assertThat(DaemonFixture.completeUpload(client)).startsWith("HTTP/1.1 200");
     }
     assertThat(hostsOf("r")).containsExactly("healthy");
     ProxyFixture.await(() -> healthy.connections() == 0);
@@ -121,20 +121,6 @@
     assertThat(fixture.daemon.reload()).isTrue();
   }
 
-  /** Sends the head of a request and returns once the daemon has read it. */
-  private Socket startRequest(String id) throws Exception {
-    Socket client = fixture.client();
-    ProxyFixture.write(
-        client, request("PUT", "/x", id, "Content-Length: 4", "Expect: 100-continue"));
-    assertThat(ProxyFixture.readMessage(client.getInputStream())).startsWith("HTTP/1.1 100");
-    return client;
-  }
-
-  private static String completeRequest(Socket client) throws Exception {
-    ProxyFixture.write(client, "body");
-    return ProxyFixture.readMessage(client.getInputStream());
-  }
-
   private List<String> hostsOf(String id) {
     return fixture.executionLog.executionsOf(id).stream()
         .map(ExecutionLog.Execution::upstream)
--- a/src/test/java/leadferry/soak/SoakJudgeTest.java
+++ b/src/test/java/leadferry/soak/SoakJudgeTest.java
@@ -189,8 +189,7 @@
     // The proxy ejects the host after its first rejection, so few requests reach it: a run in which
     // only some of them are unsafe may have no duplicate.
     SoakPlan plan =
-        SoakPlan.steady(32, LENGTH_MS, List.of())
-            .withOnlyUnsafeRequests()
+        SoakPlan.steady(32, LENGTH_MS, List.of(), SoakPlan.STEADY_CLIENTS.withOnlyUnsafe())
             .withSabotage(SoakPlan.Sabotage.NONE, deny);
     assertThat(brokenRulesOfRun(plan, false)).containsExactly(Rule.DUPLICATE);
   }
--- a/src/test/java/leadferry/soak/SoakPlan.java
+++ b/src/test/java/leadferry/soak/SoakPlan.java
@@ -119,6 +119,10 @@
   static final List<String> FATAL_FAULTS =
       List.of("ECONNRESET", "ETIMEDOUT", "EHOSTUNREACH", "EPIPE");
 
+  /** Clients of a steady run. */
+  static final SoakClient.Profile STEADY_CLIENTS =
+      new SoakClient.Profile(60, 0.5, 0, 800, 1_200, false);
+
   private static final int MAX_FAULTS = 4;
   private static final int MAX_EVENTS = 8;
   private static final long FIRST_EVENT_MS = 500;
@@ -128,7 +132,12 @@
    * use a new connection.
    */
   static SoakPlan steady(long seed, long durationMs, List<SystemCallFault> faults) {
-    SoakClient.Profile habits = new SoakClient.Profile(60, 0.5, 0, 800, 1_200, false);
+    return steady(seed, durationMs, faults, STEADY_CLIENTS);
+  }
+
+  /** Returns a run as {@link #steady(long, long, List)} does, with clients that act so. */
+  static SoakPlan steady(
+      long seed, long durationMs, List<SystemCallFault> faults, SoakClient.Profile clients) {
     return new SoakPlan(
         seed,
         durationMs,
@@ -141,7 +150,7 @@
         500,
         3,
         true,
-        habits,
+        clients,
         faults,
         null,
         List.of(),
@@ -169,27 +178,6 @@
         newSabotage);
   }
 
-  /** Returns this run with requests that must not run twice only. */
-  SoakPlan withOnlyUnsafeRequests() {
-    return new SoakPlan(
-        seed,
-        durationMs,
-        proxies,
-        upstreams,
-        clientsPerProxy,
-        stalledClientsPerProxy,
-        descriptorLimit,
-        serviceMs,
-        drainGraceMs,
-        maxAttempts,
-        cancel,
-        clientProfile.withOnlyUnsafe(),
-        systemCallFaults,
-        clockStep,
-        events,
-        sabotage);
-  }
-
   /** Returns a random run that is determined by the seed. */
   static SoakPlan fromSeed(long seed, long durationMs, int proxies) {
     Random random = new Random(seed);
