--- a/src/test/java/leadferry/soak/ProxyProcess.java
+++ b/src/test/java/leadferry/soak/ProxyProcess.java
@@ -17,7 +17,7 @@
  * A process under test, run from the compiled classes: the platform's proxy with the options of the
  * deploy folder, or a daemon. Signals go to the ID of the process.
  */
-final class ProxyProcess {
+public final class ProxyProcess {
   private static final long START_MS = 30_000;
   private static final int CONNECT_MS = 500;
 
@@ -67,7 +67,7 @@
    * Returns the platform's proxy, with the JVM options of the deploy folder, and thus with the
    * memory limits of the platform.
    */
-  static ProxyProcess platform(Path configuration, Path folder, int port, int discoveryPort)
+  public static ProxyProcess platform(Path configuration, Path folder, int port, int discoveryPort)
       throws IOException {
     List<String> options =
         Files.readAllLines(Path.of("deploy/proxy.jvm")).stream()
@@ -103,6 +103,11 @@
     return folder.resolve("proxy.log");
   }
 
+  /** Starts the process without faults and waits until it serves requests. */
+  public void start() throws IOException, InterruptedException {
+    start(new Faults(null, List.of(), 0, null, 0));
+  }
+
   /** Starts the process and waits until it serves requests. */
   void start(Faults faults) throws IOException, InterruptedException {
     List<String> command = new ArrayList<>(descriptorLimitPrefix(faults.descriptorLimit()));
@@ -200,7 +205,8 @@
     return process.exitValue();
   }
 
-  void kill() {
+  /** Kills the process by SIGKILL if it runs. */
+  public void kill() {
     if (process != null) {
       process.destroyForcibly();
     }
