Forward a long response whose host pauses, and end one that never ends in time

Cause: such a response was held until more than 64 KiB had come or until a part came over 50 ms after its head; a host that paused then sent no part, and the deadline gave the response up. A condition on time was looked at only when another event came. Past the deadline a pause of 0.4 s cut it as well, while 20 bytes every 0.1 s were forwarded for ever. Change: a timer and the deadline start the stream. Past its deadline a response goes on for 0.4 s; after that if more than 64 KiB of it have come, or while 8 kB a second have come since its head and the last pause is under 2 s. A response that is cut off is logged, with reason, bytes, times, server and id.

--- a/src/main/java/leadferry/engine/Attempt.java
+++ b/src/main/java/leadferry/engine/Attempt.java
@@ -12,10 +12,10 @@
  */
 public abstract class Attempt {
   /**
-   * Maximum pause (ms) of a streamed response after the request's deadline, where the response is
-   * not known to be long. The request must end within 500 ms of its deadline.
+   * Time (ms) for which a response that has begun may go on after the request's deadline without
+   * any proof that it is still being written. The request must end within 500 ms of its deadline.
    */
-  protected static final long STREAM_STALL_MILLIS = 400;
+  protected static final long OVERDUE_GRACE_MILLIS = 400;
 
   private static final double NANOS_PER_MILLI = 1e6;
 
@@ -106,14 +106,24 @@
   }
 
   /**
-   * Whether a response that is being sent to the client may continue past the request's deadline.
+   * Whether a response that is being sent to the client may continue, {@code overdueMillis} after
+   * the request's deadline.
    */
-  protected boolean canOutliveDeadline() {
+  protected boolean canOutliveDeadline(double overdueMillis) {
     return true;
   }
 
-  /** Releases the buffered part of the response; called when the attempt is over. */
-  protected abstract void releaseResponse();
+  /**
+   * Starts to send a response of unknown length that has begun to arrive and is held, if it may be
+   * sent before it is complete.
+   */
+  protected void startHeldResponse() {}
+
+  /**
+   * Releases the buffered part of the response; called when the attempt is over, which ended with
+   * {@code outcome}.
+   */
+  protected abstract void releaseResponse(AttemptOutcome outcome);
 
   // --- connection
 
@@ -282,7 +292,7 @@
     }
     phase = phase.ended(outcome);
     host.openAttempts--;
-    releaseResponse();
+    releaseResponse(outcome);
     dispatcher.connectionPool().onAttemptEnded(this);
     exchange.onAttemptEnded(this, outcome, dispatcher.now() - sentAt, loadReport());
   }
--- a/src/main/java/leadferry/engine/Dispatcher.java
+++ b/src/main/java/leadferry/engine/Dispatcher.java
@@ -82,6 +82,11 @@
     return CLOCK_START + (System.nanoTime() - startedAt) / 1e6;
   }
 
+  /** Returns the log of this pool. */
+  Log log() {
+    return log;
+  }
+
   /** Returns the pool's name, or null. */
   public String name() {
     return name;
--- a/src/main/java/leadferry/engine/Exchange.java
+++ b/src/main/java/leadferry/engine/Exchange.java
@@ -103,6 +103,11 @@
     return call.requestId();
   }
 
+  /** Returns the log of the pool that holds the request. */
+  public Log log() {
+    return dispatcher.log();
+  }
+
   /** Returns the name of the pool that holds the request, or null. */
   public String poolName() {
     return dispatcher.name();
@@ -265,6 +270,7 @@
   }
 
   private void onDeadline() {
+    startHeldResponse();
     for (int i = 0; i < attempts.size(); i++) {
       Attempt attempt = attempts.get(i);
       if (!attempt.isOpen()) {
@@ -275,7 +281,7 @@
         // The check has no effect once the attempt is over.
         dispatcher
             .loop()
-            .schedule(this::onDeadline, Attempt.STREAM_STALL_MILLIS, TimeUnit.MILLISECONDS);
+            .schedule(this::onDeadline, Attempt.OVERDUE_GRACE_MILLIS, TimeUnit.MILLISECONDS);
       } else {
         attempt.onDeadline();
       }
@@ -286,8 +292,24 @@
     }
   }
 
+  /**
+   * Starts the response that the first of the attempts holds. Guards against a long response that
+   * is given up because its length is unknown: such a response meets the deadline with its first
+   * byte.
+   */
+  private void startHeldResponse() {
+    for (int i = 0; i < attempts.size() && !state.isResolved(); i++) {
+      Attempt attempt = attempts.get(i);
+      if (attempt.isOpen() && call.isTimedToFirstByte()) {
+        attempt.startHeldResponse();
+      }
+    }
+  }
+
   private boolean canOutliveDeadline(Attempt attempt) {
-    return attempt.isResponding() && call.isTimedToFirstByte() && attempt.canOutliveDeadline();
+    return attempt.isResponding()
+        && call.isTimedToFirstByte()
+        && attempt.canOutliveDeadline(dispatcher.now() - deadlineAt);
   }
 
   /**
--- a/src/main/java/leadferry/http/HttpAttempt.java
+++ b/src/main/java/leadferry/http/HttpAttempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
+import java.util.concurrent.TimeUnit;
 import leadferry.engine.Attempt;
 import leadferry.engine.Body;
 import leadferry.engine.Exchange;
@@ -21,7 +22,16 @@
    * Time (ms) after which a response of unknown length is streamed if streaming is allowed. Such a
    * response may be long, and the client waits for its first bytes.
    */
-  private static final double STREAM_AFTER_MILLIS = 50;
+  private static final long STREAM_AFTER_MILLIS = 50;
+
+  /**
+   * Least mean rate (bytes per ms) at which an overdue response of unknown length counts as being
+   * written: an eighth of what the slowest sender of the protocol sends.
+   */
+  private static final double MIN_OVERDUE_BYTES_PER_MILLI = 8;
+
+  /** Pause (ms) after which an overdue response of unknown length no longer counts as written. */
+  private static final double MAX_OVERDUE_PAUSE_MILLIS = 2_000;
 
   private final HttpCall call;
   private final Runnable resume = this::resumeReading;
@@ -185,6 +195,7 @@
   private void receiveBody(HttpResponse response) {
     head = response;
     headAtMillis = dispatcher().now();
+    receivedAtMillis = headAtMillis;
     lengthBytes = HttpUtil.getContentLength(response, -1L);
     if (lengthBytes > upstreamConnection().protocol.maxStreamedResponseBytes()) {
       onConnectionBroken(); // exceeds the maximum length
@@ -193,6 +204,27 @@
       startStreaming();
     } else if (lengthBytes > upstreamConnection().protocol.maxHeldResponseBytes()) {
       onConnectionBroken(); // exceeds the maximum length
+    } else if (lengthBytes < 0 && call.shouldStreamOverflow()) {
+      // Guards against a response that stays held while its host pauses: no part of it arrives that
+      // could start its stream.
+      dispatcher()
+          .loop()
+          .schedule(this::startStreamingByTime, STREAM_AFTER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Starts to stream what is held of the response; its head alone stays held for a retry. */
+  private void startStreamingByTime() {
+    if (body != null && body.size() > 0) {
+      startHeldResponse();
+    }
+  }
+
+  @Override
+  protected void startHeldResponse() {
+    boolean isHeld = !isOver() && !streaming && !serverError && head != null && lengthBytes < 0;
+    if (isHeld && call.shouldStreamOverflow()) {
+      startStreaming();
     }
   }
 
@@ -207,6 +239,8 @@
     }
     streaming = true;
     call.beginStream(this, head, lengthBytes);
+    dispatcher().bodyBudget().cancelAwait(resume);
+    resumeReading(); // it may be paused until memory is free
     if (body != null) {
       body.retainedBlocks().forEach(this::writeToClient);
       body.release();
@@ -313,17 +347,26 @@
 
   /**
    * Whether the streamed response may continue past the deadline of the request: a long response
-   * has to meet the deadline only with its first byte. Any other response may continue while the
-   * client is not reading or while the last pause is shorter than {@link #STREAM_STALL_MILLIS}.
-   * Guards against a response of unknown length that never ends: it is not known to be long, its
-   * client waits for it, and no other response is possible once its stream has begun.
+   * has to meet the deadline only with its first byte. A response of unknown length is long once
+   * more of it has come than is held in memory. Until then it may continue while its client is not
+   * reading, and otherwise for {@link #OVERDUE_GRACE_MILLIS} and for as long as it is being
+   * written. Guards against a response that never ends: its client waits for it, and no other
+   * response is possible once its stream has begun.
    */
   @Override
-  protected boolean canOutliveDeadline() {
+  protected boolean canOutliveDeadline(double overdueMillis) {
     return lengthBytes > upstreamConnection().protocol.maxHeldResponseBytes()
         || streamedBytes > upstreamConnection().protocol.maxHeldResponseBytes()
         || isWaitingForClient()
-        || dispatcher().now() - receivedAtMillis < STREAM_STALL_MILLIS;
+        || overdueMillis < OVERDUE_GRACE_MILLIS
+        || isBeingWritten();
+  }
+
+  /** Whether the host has kept up a rate that only a long response has, and has not stopped. */
+  private boolean isBeingWritten() {
+    double nowMillis = dispatcher().now();
+    return nowMillis - receivedAtMillis < MAX_OVERDUE_PAUSE_MILLIS
+        && streamedBytes >= MIN_OVERDUE_BYTES_PER_MILLI * (nowMillis - headAtMillis);
   }
 
   /**
@@ -336,8 +379,37 @@
     super.onConnectionBroken();
   }
 
+  /** Logs the end of a response that has begun and does not end as its framing says. */
+  private void logCutOff(AttemptOutcome outcome) {
+    double nowMillis = dispatcher().now();
+    exchange
+        .log()
+        .event(
+            "response cut off",
+            "reason",
+            outcome == AttemptOutcome.TIMEOUT ? "deadline" : "upstream",
+            "forwarded",
+            streamedBytes,
+            "held",
+            body == null ? 0 : body.size(),
+            "length",
+            lengthBytes < 0 ? null : lengthBytes,
+            "ms",
+            Math.round(nowMillis - headAtMillis),
+            "pause",
+            Math.round(nowMillis - receivedAtMillis),
+            "server",
+            exchange.lastServer(),
+            "id",
+            call.requestId());
+  }
+
   @Override
-  protected void releaseResponse() {
+  protected void releaseResponse(AttemptOutcome outcome) {
+    boolean isCutOff = outcome == AttemptOutcome.TIMEOUT || outcome == AttemptOutcome.RESET;
+    if (isCutOff && head != null && !serverError) {
+      logCutOff(outcome);
+    }
     dispatcher().bodyBudget().cancelAwait(resume);
     if (call.upload() != null) {
       call.upload().detach(this);
