--- a/src/main/java/leadferry/engine/Exchange.java
+++ b/src/main/java/leadferry/engine/Exchange.java
@@ -99,7 +99,7 @@
   }
 
   /** Returns the id that the client gave the request, or null; the log shows it. */
-  String requestId() {
+  public String requestId() {
     return call.requestId();
   }
 
--- a/src/main/java/leadferry/http/HttpAttempt.java
+++ b/src/main/java/leadferry/http/HttpAttempt.java
@@ -24,26 +24,14 @@
    */
   private static final long STREAM_AFTER_MILLIS = 50;
 
-  /**
-   * Least mean rate (bytes per ms) at which an overdue response of unknown length counts as being
-   * written: an eighth of what the slowest sender of the protocol sends.
-   */
-  private static final double MIN_OVERDUE_BYTES_PER_MILLI = 8;
-
-  /** Pause (ms) after which an overdue response of unknown length no longer counts as written. */
-  private static final double MAX_OVERDUE_PAUSE_MILLIS = 2_000;
-
   private final HttpCall call;
   private final Runnable resume = this::resumeReading;
   private LoadReport report;
   private HttpResponse head;
   private Body body;
-  private long lengthBytes;
+  private ResponseProgress progress;
   private boolean uploadComplete;
   private boolean streaming;
-  private long streamedBytes;
-  private double headAtMillis;
-  private double receivedAtMillis;
   private boolean serverError;
 
   HttpAttempt(
@@ -137,8 +125,7 @@
       // The body may be forwarded to the client. The load balancer records the outcome when the
       // response ends.
       serverError = true;
-      head = response;
-      lengthBytes = HttpUtil.getContentLength(response, -1L);
+      beginResponse(response);
       return;
     }
     upstreamConnection().discardRemainder();
@@ -189,14 +176,21 @@
     return isFullyWritten() ? AttemptOutcome.ERROR : AttemptOutcome.CONNECT_FAILED;
   }
 
+  private void beginResponse(HttpResponse response) {
+    head = response;
+    progress =
+        new ResponseProgress(
+            HttpUtil.getContentLength(response, -1L),
+            upstreamConnection().protocol.maxHeldResponseBytes(),
+            dispatcher().now());
+  }
+
   /**
    * Receives the body of a response that is served: it is streamed, or held until it is complete.
    */
   private void receiveBody(HttpResponse response) {
-    head = response;
-    headAtMillis = dispatcher().now();
-    receivedAtMillis = headAtMillis;
-    lengthBytes = HttpUtil.getContentLength(response, -1L);
+    beginResponse(response);
+    long lengthBytes = progress.lengthBytes();
     if (lengthBytes > upstreamConnection().protocol.maxStreamedResponseBytes()) {
       onConnectionBroken(); // exceeds the maximum length
     } else if (!upstreamConnection().hasNoBody(response)
@@ -222,7 +216,8 @@
 
   @Override
   protected void startHeldResponse() {
-    boolean isHeld = !isOver() && !streaming && !serverError && head != null && lengthBytes < 0;
+    boolean isHeld =
+        !isOver() && !streaming && !serverError && head != null && progress.lengthBytes() < 0;
     if (isHeld && call.shouldStreamOverflow()) {
       startStreaming();
     }
@@ -238,7 +233,7 @@
       return false;
     }
     streaming = true;
-    call.beginStream(this, head, lengthBytes);
+    call.beginStream(this, head, progress.lengthBytes());
     dispatcher().bodyBudget().cancelAwait(resume);
     resumeReading(); // it may be paused until memory is free
     if (body != null) {
@@ -251,7 +246,7 @@
   }
 
   private void writeToClient(ByteBuf bytes) {
-    streamedBytes += bytes.readableBytes();
+    progress.onForwarded(bytes.readableBytes());
     if (!call.writeStreamContent(bytes) && connection() != null) {
       connection().channel().config().setAutoRead(false);
     }
@@ -263,9 +258,10 @@
     if (partBytes == 0) {
       return;
     }
-    receivedAtMillis = dispatcher().now();
+    progress.onReceived(dispatcher().now());
     if (streaming) {
-      if (streamedBytes + partBytes > upstreamConnection().protocol.maxStreamedResponseBytes()) {
+      if (progress.forwardedBytes() + partBytes
+          > upstreamConnection().protocol.maxStreamedResponseBytes()) {
         onConnectionBroken(); // exceeds the maximum length
       } else {
         writeToClient(part.content().retain());
@@ -280,8 +276,8 @@
   /** Whether a response of unknown length has been arriving for long enough to be streamed. */
   private boolean shouldStreamByTime() {
     return !serverError
-        && lengthBytes < 0
-        && dispatcher().now() - headAtMillis > STREAM_AFTER_MILLIS
+        && progress.lengthBytes() < 0
+        && progress.ageMillis(dispatcher().now()) > STREAM_AFTER_MILLIS
         && call.shouldStreamOverflow();
   }
 
@@ -293,7 +289,7 @@
 
   private void appendToBody(HttpContent part, int partBytes) {
     if (body == null) {
-      body = dispatcher().newBody(lengthBytes, false);
+      body = dispatcher().newBody(progress.lengthBytes(), false);
     }
     if (body.size() + partBytes > upstreamConnection().protocol.maxHeldResponseBytes()) {
       if (serverError || !call.shouldStreamOverflow()) {
@@ -355,18 +351,10 @@
    */
   @Override
   protected boolean canOutliveDeadline(double overdueMillis) {
-    return lengthBytes > upstreamConnection().protocol.maxHeldResponseBytes()
-        || streamedBytes > upstreamConnection().protocol.maxHeldResponseBytes()
+    return progress.isLong()
         || isWaitingForClient()
         || overdueMillis < OVERDUE_GRACE_MILLIS
-        || isBeingWritten();
-  }
-
-  /** Whether the host has kept up a rate that only a long response has, and has not stopped. */
-  private boolean isBeingWritten() {
-    double nowMillis = dispatcher().now();
-    return nowMillis - receivedAtMillis < MAX_OVERDUE_PAUSE_MILLIS
-        && streamedBytes >= MIN_OVERDUE_BYTES_PER_MILLI * (nowMillis - headAtMillis);
+        || progress.isBeingWritten(dispatcher().now());
   }
 
   /**
@@ -379,36 +367,11 @@
     super.onConnectionBroken();
   }
 
-  /** Logs the end of a response that has begun and does not end as its framing says. */
-  private void logCutOff(AttemptOutcome outcome) {
-    double nowMillis = dispatcher().now();
-    exchange
-        .log()
-        .event(
-            "response cut off",
-            "reason",
-            outcome == AttemptOutcome.TIMEOUT ? "deadline" : "upstream",
-            "forwarded",
-            streamedBytes,
-            "held",
-            body == null ? 0 : body.size(),
-            "length",
-            lengthBytes < 0 ? null : lengthBytes,
-            "ms",
-            Math.round(nowMillis - headAtMillis),
-            "pause",
-            Math.round(nowMillis - receivedAtMillis),
-            "server",
-            exchange.lastServer(),
-            "id",
-            call.requestId());
-  }
-
   @Override
   protected void releaseResponse(AttemptOutcome outcome) {
     boolean isCutOff = outcome == AttemptOutcome.TIMEOUT || outcome == AttemptOutcome.RESET;
     if (isCutOff && head != null && !serverError) {
-      logCutOff(outcome);
+      progress.logCutOff(exchange, outcome, body == null ? 0 : body.size(), dispatcher().now());
     }
     dispatcher().bodyBudget().cancelAwait(resume);
     if (call.upload() != null) {
--- a/src/test/java/leadferry/proxy/ResponseCutOffTest.java
+++ b/src/test/java/leadferry/proxy/ResponseCutOffTest.java
@@ -97,15 +97,15 @@
 
   private static String decodeChunks(String body) {
     StringBuilder text = new StringBuilder();
-    int at = 0;
-    while (at < body.length()) {
-      int lineEnd = body.indexOf("\r\n", at);
-      int length = lineEnd < 0 ? 0 : Integer.parseInt(body.substring(at, lineEnd), 16);
+    int start = 0;
+    while (start < body.length()) {
+      int lineEnd = body.indexOf("\r\n", start);
+      int length = lineEnd < 0 ? 0 : Integer.parseInt(body.substring(start, lineEnd), 16);
       if (length == 0 || lineEnd + 2 + length > body.length()) {
         break;
       }
       text.append(body, lineEnd + 2, lineEnd + 2 + length);
-      at = lineEnd + length + 4;
+      start = lineEnd + length + 4;
     }
     return text.toString();
   }
