End an upload in its time whose host reads slowly, also while it stands in its client's kernel

Cause: the time of an upload counts from its last byte, and its arrival was taken from what this machine had received. While the host is slow, reading pauses and the receive window is closed; what the client has written then waits in its own kernel, up to 4 MiB (measured here: 4.1 MB behind 128 kB unread). Each byte that came in moved the start of the time on. Change: as long as part of the body stands unread, the last byte may have been written once no more than 4 MiB were left to come (length told), or when what has come last was 4 MiB ago (chunked). A request that would be later than its time and 0.4 s by that is ended. A client that writes slowly leaves nothing unread and is not concerned.

--- a/src/main/java/leadferry/http/RequestIntake.java
+++ b/src/main/java/leadferry/http/RequestIntake.java
@@ -212,6 +212,7 @@
             Headers.EMPTY,
             result.streaming(),
             announcedMillis);
+    long totalBytes = head.contentLength();
     head.clearRequest();
     client.beginCall(call);
     pool.submit(
@@ -219,7 +220,7 @@
         isLarge ? arrival.withBudget(arrival.budgetMillis() + MAX_UPLOAD_MILLIS) : arrival,
         result.fallback());
     if (isLarge && upload != null) {
-      unreadDeadline.startForUpload(upload, arrival.budgetMillis());
+      unreadDeadline.startForUpload(upload, totalBytes, arrival.budgetMillis());
     }
   }
 
@@ -254,7 +255,8 @@
     switch (buffer.append(bytes, head)) {
       case HELD -> {
         if (buffer.isPaused()) {
-          unreadDeadline.startForHeldBody(buffer, head.filterResult().arrival().budgetMillis());
+          unreadDeadline.startForHeldBody(
+              buffer, head.contentLength(), head.filterResult().arrival().budgetMillis());
         }
       }
       case TOO_LARGE -> client.reject(413);
--- a/src/main/java/leadferry/http/UnreadBodyDeadline.java
+++ b/src/main/java/leadferry/http/UnreadBodyDeadline.java
@@ -25,10 +25,11 @@
 
   /**
    * Starts to guard a streamed request that has {@code budgetMillis} from its last byte on. Also
-   * bounds the time for which an upstream host may take nothing while more is to come.
+   * bounds the time for which an upstream host may take nothing while more is to come. {@code
+   * totalBytes} is the length of the body, or -1 if unknown.
    */
-  void startForUpload(RequestBodyUpload upload, double budgetMillis) {
-    unreadInput.start(upload::receivedBytes, () -> expireIfDue(upload, budgetMillis));
+  void startForUpload(RequestBodyUpload upload, long totalBytes, double budgetMillis) {
+    unreadInput.start(upload::receivedBytes, totalBytes, () -> expireIfDue(upload, budgetMillis));
   }
 
   private void expireIfDue(RequestBodyUpload upload, double budgetMillis) {
@@ -46,10 +47,11 @@
 
   /**
    * Starts to guard a request that waits for memory and has {@code budgetMillis} from its last byte
-   * on. Nothing of it has been sent, so it can be rejected.
+   * on. Nothing of it has been sent, so it can be rejected. {@code totalBytes} is the length of the
+   * body, or -1 if unknown.
    */
-  void startForHeldBody(RequestBodyBuffer buffer, double budgetMillis) {
-    unreadInput.start(buffer::heldBytes, () -> rejectIfDue(buffer, budgetMillis));
+  void startForHeldBody(RequestBodyBuffer buffer, long totalBytes, double budgetMillis) {
+    unreadInput.start(buffer::heldBytes, totalBytes, () -> rejectIfDue(buffer, budgetMillis));
   }
 
   private void rejectIfDue(RequestBodyBuffer buffer, double budgetMillis) {
--- a/src/main/java/leadferry/http/UnreadInputWatch.java
+++ b/src/main/java/leadferry/http/UnreadInputWatch.java
@@ -15,15 +15,24 @@
  * <p>At each check, input that has arrived is either read or counted by the kernel as unread. If
  * nothing is unread, later input arrives after the check; if the sum has grown, its newest part
  * arrived after the previous check. Where the socket can't count, input is taken to be unread
- * whenever reading is paused.
+ * whenever reading is paused. What the client's kernel may hold back counts too, see {@link
+ * ArrivalHistory}.
  *
  * <p>Used only on the connection's event loop.
  */
 final class UnreadInputWatch {
   private static final long CHECK_INTERVAL_MILLIS = SocketSlack.MS;
 
+  /**
+   * Time (ns) by which a request may be late if it is only possible that its last byte was written,
+   * and not known: its final response must come within 500 ms of its time.
+   */
+  private static final long UNPROVEN_GRACE_NANOS = 400_000_000L;
+
   private final SocketChannel channel;
   private final Transport transport;
+  private final ArrivalHistory arrivals = new ArrivalHistory();
+  private long totalBytes;
   private LongSupplier receivedBytes;
   private Runnable onChecked;
   private Future<?> nextCheck;
@@ -41,16 +50,19 @@
    * Starts to watch the current request, or goes on to watch it with another count of its bytes.
    *
    * @param received the number of bytes of its body that have been read
+   * @param total the length of its body, or -1 if unknown
    * @param checked called after each check
    */
-  void start(LongSupplier received, Runnable checked) {
+  void start(LongSupplier received, long total, Runnable checked) {
     receivedBytes = received;
+    totalBytes = total;
     onChecked = checked;
     if (nextCheck == null) {
       unreadBytes = 0;
       arrivedBytes = 0;
       checkedAtNanos = HttpServer.readUntilNanos();
       earliestArrivalNanos = checkedAtNanos;
+      arrivals.restart(checkedAtNanos, receivedBytes.getAsLong());
       scheduleCheck();
     }
   }
@@ -69,20 +81,31 @@
   }
 
   /**
-   * Returns the longest time (ns) for which all input that has arrived can have been here, part of
-   * it unread; 0 if nothing was unread at the last check.
+   * Returns the time (ns) that counts against the request although part of it is unread; 0 if
+   * nothing was unread at the last check.
    */
   long unreadNanos(long nowNanos) {
-    return unreadBytes == 0 ? 0 : nowNanos - earliestArrivalNanos;
+    return unreadBytes == 0
+        ? 0
+        : Math.max(
+            nowNanos - earliestArrivalNanos,
+            arrivals.lastByteAgeNanos(nowNanos, arrivedBytes, totalBytes) - UNPROVEN_GRACE_NANOS);
   }
 
   /**
-   * Returns the longest time (ns) for which the last byte of the body, which has just been read,
-   * can have been here; 0 if it arrived after the last check.
+   * Returns the time (ns) that counts against the request now that the last byte of its body has
+   * been read; 0 if it arrived after the last check.
    */
   long lastByteAgeNanos(long nowNanos) {
-    boolean isWatched = nextCheck != null;
-    return isWatched && arrivedBytes >= receivedBytes.getAsLong() ? unreadNanos(nowNanos) : 0;
+    if (nextCheck == null) {
+      return 0;
+    }
+    long received = receivedBytes.getAsLong();
+    long arrivalAgeNanos =
+        arrivedBytes >= received && unreadBytes > 0 ? nowNanos - earliestArrivalNanos : 0;
+    return Math.max(
+        arrivalAgeNanos,
+        arrivals.lastByteAgeNanos(nowNanos, received, received) - UNPROVEN_GRACE_NANOS);
   }
 
   private void scheduleCheck() {
@@ -97,8 +120,10 @@
     long nowArrivedBytes = receivedBytes.getAsLong() + unreadBytes;
     if (unreadBytes == 0) {
       earliestArrivalNanos = nowNanos;
-    } else if (nowArrivedBytes > arrivedBytes) {
-      earliestArrivalNanos = checkedAtNanos;
+      arrivals.restart(nowNanos, nowArrivedBytes);
+    } else {
+      earliestArrivalNanos = nowArrivedBytes > arrivedBytes ? checkedAtNanos : earliestArrivalNanos;
+      arrivals.add(nowNanos, nowArrivedBytes);
     }
     arrivedBytes = nowArrivedBytes;
     checkedAtNanos = nowNanos;
