--- a/src/test/java/leadferry/soak/ProxyProcess.java
+++ b/src/test/java/leadferry/soak/ProxyProcess.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * A process under test, run from the compiled classes: the platform's proxy with the options of the
@@ -21,6 +22,12 @@
   private static final long START_MS = 30_000;
   private static final int CONNECT_MS = 500;
 
+  /**
+   * Name of a system property; with the value "jar" the platform's proxy is started as the deploy
+   * file does, from the jar and the archive of classes that its build leaves.
+   */
+  private static final String RUN_PROPERTY = "leadferry.run";
+
   /**
    * Faults that a process is started with.
    *
@@ -103,6 +110,13 @@
     return folder.resolve("proxy.log");
   }
 
+  /**
+   * Whether the platform's proxy is started from the class path, and not as the deploy file does.
+   */
+  public static boolean runsFromClassPath() {
+    return !"jar".equals(System.getProperty(RUN_PROPERTY));
+  }
+
   /** Starts the process without faults and waits until it serves requests. */
   public void start() throws IOException, InterruptedException {
     start(new Faults(null, List.of(), 0, null, 0));
@@ -113,7 +127,12 @@
     List<String> command = new ArrayList<>(descriptorLimitPrefix(faults.descriptorLimit()));
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(kind.options());
-    command.addAll(List.of("-cp", System.getProperty("java.class.path"), "leadferry.Main"));
+    if (!runsFromClassPath() && kind.arguments().contains("proxy")) {
+      command.addAll(
+          List.of("-XX:SharedArchiveFile=target/leadferry.jsa", "-jar", "target/leadferry.jar"));
+    } else {
+      command.addAll(List.of("-cp", System.getProperty("java.class.path"), "leadferry.Main"));
+    }
     command.addAll(kind.arguments());
     ProcessBuilder builder = new ProcessBuilder(command);
     builder
@@ -192,7 +211,20 @@
     new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
   }
 
-  boolean isAlive() {
+  /** Returns the largest resident memory of the process so far in kB, 0 if it has ended. */
+  public long peakMemoryKilobytes() throws IOException {
+    Path status = Path.of("/proc", Long.toString(process.pid()), "status");
+    try (Stream<String> lines = Files.lines(status)) {
+      return lines
+          .filter(line -> line.startsWith("VmHWM:"))
+          .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+          .findFirst()
+          .orElse(0);
+    }
+  }
+
+  /** Whether the process runs. */
+  public boolean isAlive() {
     return process.isAlive();
   }
 
