Count heads against a budget, and don't let an Error end an event loop unseen

Cause: (1) a head was decoded as it came: 4,000 fields of 4 bytes are some 0.7 MB as objects, nothing counted them, and the 32 MB heap was full with the heads of some 40 clients. (2) An OutOfMemoryError in a loop's poll ends the loop in Netty, and nobody looked. (3) A body took memory for its announced length with its first bytes, and the JVM's own part was reckoned 4 MB too low. Change: 128 fields at most (431; a response with more is malformed); a head is decoded once it is whole; HeadBudget (a fifth of the heap, a quarter of it for heads under 6 KiB) counts undecoded, decoded, queued and upstream heads, and rejects with 503 what it has no room for. ErrorContainment keeps a loop going after an error and ends one that only fails; platform and daemon then exit with 70. Periodic tasks survive errors too. Bodies grow with their bytes; 92 MB are kept for the JVM, 4 MB at least for bodies (88 and 8 before). Test changes: UnreadBodyTest and TerminationRaceTest take 100 MB in place of 96 for the same 8 MB of bodies.

--- a/src/main/java/leadferry/cli/DaemonCommand.java
+++ b/src/main/java/leadferry/cli/DaemonCommand.java
@@ -18,9 +18,12 @@
     footer = {
       "",
       "SIGHUP reloads the configuration file. A file with an error is rejected as a whole.",
-      "Exit status: 0 after a drain, 2 for an invalid configuration file or a listener that cannot be bound."
+      "Exit status: 0 after a drain, 2 for an invalid configuration file or a listener that cannot be bound, 70 after the end of an event loop."
     })
 final class DaemonCommand implements Callable<Integer> {
+  /** Exit status of a process one of whose event loops has ended. */
+  private static final int EXIT_LOOP_ENDED = 70;
+
   @Option(
       names = "--config",
       required = true,
@@ -45,6 +48,7 @@
       System.err.println(e.getMessage());
       return 2;
     }
+    daemon.onLoopEnded(this::exitWithoutLoop);
     if (!Signals.onHangup(() -> reload(daemon))) {
       log.line(
           "SIGHUP handler not installed: the platform has no SIGHUP or the parent process ignores it; restart the daemon to change the configuration");
@@ -70,6 +74,13 @@
     return 0;
   }
 
+  /** Ends the process: part of its clients would be served no more. */
+  private void exitWithoutLoop() {
+    log.line("event loop ended: the process exits");
+    log.close();
+    Runtime.getRuntime().halt(EXIT_LOOP_ENDED);
+  }
+
   /**
    * Reloads on a new thread, because the JVM's signal thread must stay free for the next signal.
    */
--- a/src/main/java/leadferry/daemon/Daemon.java
+++ b/src/main/java/leadferry/daemon/Daemon.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import leadferry.engine.AcceptBackoffHandler;
+import leadferry.engine.ErrorContainment;
 import leadferry.engine.Log;
 import leadferry.engine.NativeTransport;
 import leadferry.engine.NioTransport;
@@ -59,6 +60,7 @@
   private final Path file;
   private final Log log;
   private final Transport transport;
+  private volatile boolean closing;
   private final MultiThreadIoEventLoopGroup acceptor;
   private final MultiThreadIoEventLoopGroup workerGroup;
   private final Map<EventLoop, Worker> workers = new LinkedHashMap<>();
@@ -107,12 +109,14 @@
     this.transport = transport(config.process().transport(), log);
     this.acceptor =
         new MultiThreadIoEventLoopGroup(
-            1, new DefaultThreadFactory("accept", true), transport.ioHandlerFactory());
+            1,
+            new DefaultThreadFactory("accept", true),
+            ErrorContainment.wrap(transport.ioHandlerFactory(), log));
     this.workerGroup =
         new MultiThreadIoEventLoopGroup(
             config.process().workers(),
             new DefaultThreadFactory("worker", true),
-            transport.ioHandlerFactory());
+            ErrorContainment.wrap(transport.ioHandlerFactory(), log));
     for (int index = 0; index < config.process().workers(); index++) {
       EventLoop loop = (EventLoop) workerGroup.next();
       workers.put(
@@ -483,9 +487,16 @@
     terminated.countDown();
   }
 
+  /** Runs {@code task} if a loop of this daemon ends although the daemon was not closed. */
+  public void onLoopEnded(Runnable task) {
+    ErrorContainment.onLoopEnded((EventLoop) acceptor.next(), () -> closing, task);
+    workers.keySet().forEach(loop -> ErrorContainment.onLoopEnded(loop, () -> closing, task));
+  }
+
   /** Stops at once, without a drain. */
   @Override
   public void close() {
+    closing = true;
     if (fleetAgent != null) {
       fleetAgent.close();
     }
--- a/src/main/java/leadferry/daemon/Worker.java
+++ b/src/main/java/leadferry/daemon/Worker.java
@@ -17,6 +17,7 @@
 import leadferry.engine.Transport;
 import leadferry.engine.UpstreamConnectionPool;
 import leadferry.engine.UpstreamHosts;
+import leadferry.http.HeadBudget;
 import leadferry.http.HttpProtocol;
 import leadferry.http.HttpServer;
 import leadferry.http.HttpServerSettings;
@@ -73,6 +74,7 @@
   private final Map<String, HttpServer> servers = new HashMap<>();
   private final List<ClosingServer> closingServers = new ArrayList<>();
   private final OutcomeCounts outcomeCounts = new OutcomeCounts();
+  private final HeadBudget headBudget;
   private long nextSeed;
   private boolean draining;
   private boolean clientShedding;
@@ -92,6 +94,7 @@
     this.nextSeed = seed;
     this.socketBudget = new SocketBudget(process.descriptors() / process.workers());
     this.bodyBudget = new BodyBudget(((long) process.bodyMemoryMb() << 20) / process.workers());
+    this.headBudget = HeadBudget.ofHeap(process.workers());
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
   }
 
@@ -152,6 +155,7 @@
                 transport,
                 socketBudget,
                 bodyBudget,
+                headBudget,
                 log.withField("listener", listener.name()));
         newServer.setClientShedding(clientShedding);
         servers.put(listener.name(), newServer);
@@ -367,7 +371,7 @@
       }
       closingServers.removeIf(
           closing -> closing.server().hasNoClients() && now > closing.deadlineNanos());
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       // Guards against the executor, which ends a periodic task for good after its first exception.
       log.failure("periodic sweep failed", e);
     }
--- a/src/main/java/leadferry/engine/Body.java
+++ b/src/main/java/leadferry/engine/Body.java
@@ -13,8 +13,8 @@
   /** Largest capacity (bytes) of a block. */
   private static final int BLOCK_BYTES = 64 * 1024;
 
-  /** Smallest capacity (bytes) of a block where no length was announced. */
-  private static final int SMALLEST_BLOCK_BYTES = 512;
+  /** Maximum memory (bytes) of a block beyond its bytes, which the budget does not count. */
+  private static final int MAX_SPARE_BYTES = 4 * 1024;
 
   private final BodyBudget budget;
   private final ByteBufAllocator allocator;
@@ -36,22 +36,36 @@
 
   /** Copies all readable bytes and charges them to the budget. */
   public void append(ByteBuf bytes) {
-    int added = bytes.readableBytes();
-    budget.charge(added, partial);
-    size += added;
+    budget.charge(bytes.readableBytes(), partial);
+    size += bytes.readableBytes();
     while (bytes.isReadable()) {
       ByteBuf last = blocks.isEmpty() ? null : blocks.get(blocks.size() - 1);
-      if (last == null || last.maxWritableBytes() == 0) {
-        long rest = expected < 0 ? SMALLEST_BLOCK_BYTES : expected - (size - bytes.readableBytes());
-        int capacity =
-            (int) Math.max(1, Math.min(BLOCK_BYTES, Math.max(rest, bytes.readableBytes())));
-        last = allocator.directBuffer(capacity, BLOCK_BYTES);
+      if (last == null || last.readableBytes() == BLOCK_BYTES) {
+        last = allocator.directBuffer(0, BLOCK_BYTES);
         blocks.add(last);
       }
-      last.writeBytes(bytes, Math.min(bytes.readableBytes(), last.maxWritableBytes()));
+      int added = Math.min(bytes.readableBytes(), BLOCK_BYTES - last.readableBytes());
+      grow(last, added, size - bytes.readableBytes());
+      last.writeBytes(bytes, added);
     }
   }
 
+  /**
+   * Makes room in a block for bytes that follow {@code heldBytes} of the body. A block grows with
+   * its bytes: one of the announced length would take memory for bytes that a slow sender never
+   * sends.
+   */
+  private void grow(ByteBuf block, int addedBytes, long heldBytes) {
+    int neededBytes = block.readableBytes() + addedBytes;
+    if (neededBytes <= block.capacity()) {
+      return;
+    }
+    long announcedBytes =
+        expected < 0 ? BLOCK_BYTES : block.readableBytes() + Math.max(0, expected - heldBytes);
+    long wanted = Math.min(neededBytes + MAX_SPARE_BYTES, announcedBytes);
+    block.capacity((int) Math.min(BLOCK_BYTES, Math.max(neededBytes, wanted)));
+  }
+
   /** Returns the number of bytes held. */
   public long size() {
     return size;
--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -53,7 +53,8 @@
     this.intake = new RequestIntake(this, server, channel, decoder, responseWriter);
     this.discarded = intake.discardedInput();
     int maxQueuedRequests = server.settings().maxPipelinedRequests() - 1;
-    this.pipeline = new PipelineQueue(this, channel, decoder, intake, maxQueuedRequests);
+    this.pipeline =
+        new PipelineQueue(this, channel, decoder, intake, server.headBudget(), maxQueuedRequests);
   }
 
   @Override
@@ -78,15 +79,18 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    if (!(cause instanceof IOException)) {
-      server.log().failure("client connection failed on an internal error", cause);
-      if (call != null) {
-        call.exchange().abandon();
+    try {
+      if (!(cause instanceof IOException)) {
+        server.log().failure("client connection failed on an internal error", cause);
+        if (call != null) {
+          call.exchange().abandon();
+        }
+      } else {
+        log.logFailed(cause, call);
       }
-    } else {
-      log.logFailed(cause, call);
+    } finally {
+      channel.close();
     }
-    channel.close();
   }
 
   @Override
--- a/src/main/java/leadferry/http/HeadScanner.java
+++ b/src/main/java/leadferry/http/HeadScanner.java
@@ -51,6 +51,7 @@
   private boolean emptyLineSeen;
   private int position;
   private int contentLengthCount;
+  private int fieldCount;
   private boolean inContentLength;
 
   /** Prepares for the next head. */
@@ -59,6 +60,7 @@
     emptyLineSeen = false;
     position = 0;
     contentLengthCount = 0;
+    fieldCount = 0;
   }
 
   boolean isDone() {
@@ -69,6 +71,11 @@
     return state == State.INVALID;
   }
 
+  /** Whether the head is invalid because it has more than {@link HeadBudget#MAX_FIELDS} fields. */
+  boolean hasTooManyFields() {
+    return fieldCount > HeadBudget.MAX_FIELDS;
+  }
+
   /** Whether the text is a token (RFC 9110, 5.6.2). */
   static boolean isToken(String text) {
     for (int i = 0; i < text.length(); i++) {
@@ -102,7 +109,7 @@
           case LINE_END -> octet == '\n' ? State.NAME_START : State.INVALID;
           case NAME_START -> {
             position = 0;
-            yield octet == '\r' ? State.HEAD_END : nameState(octet);
+            yield octet == '\r' ? State.HEAD_END : firstNameState(octet);
           }
           case NAME -> octet == ':' ? valueState() : nameState(octet);
           case VALUE ->
@@ -119,6 +126,11 @@
     return state != State.DONE && state != State.INVALID;
   }
 
+  private State firstNameState(byte octet) {
+    fieldCount++;
+    return hasTooManyFields() ? State.INVALID : nameState(octet);
+  }
+
   /**
    * Processes an octet of a field name; {@code position} counts the octets that match {@link
    * #CONTENT_LENGTH}, or is -1 after a mismatch.
--- a/src/main/java/leadferry/http/HttpAttempt.java
+++ b/src/main/java/leadferry/http/HttpAttempt.java
@@ -27,7 +27,7 @@
   private final HttpCall call;
   private final Runnable resume = this::resumeReading;
   private LoadReport report;
-  private HttpResponse head;
+  private ResponseHead head;
   private Body body;
   private ResponseProgress progress;
   private boolean uploadComplete;
@@ -124,8 +124,7 @@
     if (status >= 500 && !notProcessed && shouldForwardError(response)) {
       // The body may be forwarded to the client. The load balancer records the outcome when the
       // response ends.
-      serverError = true;
-      beginResponse(response);
+      serverError = beginResponse(response);
       return;
     }
     upstreamConnection().discardRemainder();
@@ -176,20 +175,28 @@
     return isFullyWritten() ? AttemptOutcome.ERROR : AttemptOutcome.CONNECT_FAILED;
   }
 
-  private void beginResponse(HttpResponse response) {
-    head = response;
+  /** Holds the head of the response; returns false if there is no memory for it. */
+  private boolean beginResponse(HttpResponse response) {
+    head = ResponseHead.hold(response, call.headBudget());
+    if (head == null) {
+      onConnectionBroken();
+      return false;
+    }
     progress =
         new ResponseProgress(
             HttpUtil.getContentLength(response, -1L),
             upstreamConnection().protocol.maxHeldResponseBytes(),
             dispatcher().now());
+    return true;
   }
 
   /**
    * Receives the body of a response that is served: it is streamed, or held until it is complete.
    */
   private void receiveBody(HttpResponse response) {
-    beginResponse(response);
+    if (!beginResponse(response)) {
+      return;
+    }
     long lengthBytes = progress.lengthBytes();
     if (lengthBytes > upstreamConnection().protocol.maxStreamedResponseBytes()) {
       onConnectionBroken(); // exceeds the maximum length
@@ -233,7 +240,8 @@
       return false;
     }
     streaming = true;
-    call.beginStream(this, head, progress.lengthBytes());
+    call.beginStream(this, head.message(), progress.lengthBytes());
+    head.release();
     dispatcher().bodyBudget().cancelAwait(resume);
     resumeReading(); // it may be paused until memory is free
     if (body != null) {
@@ -324,12 +332,12 @@
       return;
     }
     if (serverError) {
-      call.keepErrorResponse(head, completeBody, trailers);
+      call.keepErrorResponse(head.message(), completeBody, trailers);
       finish(AttemptOutcome.ERROR);
       return;
     }
     if (exchange.claim()) {
-      call.sendResponse(head, completeBody, trailers);
+      call.sendResponse(head.message(), completeBody, trailers);
     } else if (completeBody != null) {
       completeBody.release();
     }
@@ -370,10 +378,13 @@
   @Override
   protected void releaseResponse(AttemptOutcome outcome) {
     boolean isCutOff = outcome == AttemptOutcome.TIMEOUT || outcome == AttemptOutcome.RESET;
-    if (isCutOff && head != null && !serverError) {
+    if (isCutOff && progress != null && !serverError) {
       progress.logCutOff(exchange, outcome, body == null ? 0 : body.size(), dispatcher().now());
     }
     dispatcher().bodyBudget().cancelAwait(resume);
+    if (head != null) {
+      head.release();
+    }
     if (call.upload() != null) {
       call.upload().detach(this);
     }
--- a/src/main/java/leadferry/http/HttpCall.java
+++ b/src/main/java/leadferry/http/HttpCall.java
@@ -31,6 +31,7 @@
 
   private final ResponseWriter client;
   private final HttpRequest head;
+  private final HeadBudget.Reservation headMemory;
   private final Body body;
   private final RequestBodyUpload upload;
   private final HttpHeaders trailers;
@@ -46,6 +47,7 @@
   /**
    * Creates a call with a complete body, or with a body that is streamed as {@code upload}.
    *
+   * @param headMemory memory of the head, which the call releases
    * @param body complete body, or null
    * @param upload streamed body, or null
    * @param streaming whether the response may be streamed
@@ -55,6 +57,7 @@
   HttpCall(
       ResponseWriter client,
       HttpRequest head,
+      HeadBudget.Reservation headMemory,
       Body body,
       RequestBodyUpload upload,
       HttpHeaders trailers,
@@ -62,6 +65,7 @@
       double announcedMillis) {
     this.client = client;
     this.head = head;
+    this.headMemory = headMemory;
     this.body = body;
     this.upload = upload;
     this.trailers = trailers;
@@ -304,8 +308,14 @@
     }
   }
 
+  /** Returns the budget for message heads. */
+  HeadBudget headBudget() {
+    return client.headBudget();
+  }
+
   @Override
   public void free() {
+    headMemory.release();
     freeErrorResponse();
     if (body != null) {
       body.release();
--- a/src/main/java/leadferry/http/HttpServer.java
+++ b/src/main/java/leadferry/http/HttpServer.java
@@ -43,6 +43,7 @@
   private final Transport transport;
   private final SocketBudget sockets;
   private final BodyBudget budget;
+  private final HeadBudget headBudget;
   private final Log log;
   private final HttpServerSettings settings;
   private RequestFilter filter;
@@ -53,6 +54,7 @@
   private int openCalls;
   private long sheddingSinceNanos;
   private long memoryRejections;
+  private long headRejections;
   private long socketRejections;
 
   /**
@@ -65,12 +67,14 @@
       Transport transport,
       SocketBudget sockets,
       BodyBudget budget,
+      HeadBudget headBudget,
       Log log) {
     this.transport = transport;
     this.settings = settings;
     this.filter = filter;
     this.sockets = sockets;
     this.budget = budget;
+    this.headBudget = headBudget;
     this.log = log;
     sockets.setClientCloser(this::evictForUpstream);
   }
@@ -142,7 +146,7 @@
 
   /** Adds an accepted connection; called on its event loop. */
   public void onAccepted(SocketChannel channel) {
-    RequestDecoder decoder = new RequestDecoder();
+    RequestDecoder decoder = new RequestDecoder(headBudget);
     sockets.onClientOpened();
     // The close future is used because handlers are not notified of a connection that is reset
     // before its channel becomes active.
@@ -321,6 +325,10 @@
         "request rejected unsent: out of memory for bodies (total: " + ++memoryRejections + ")");
   }
 
+  void recordHeadRejection() {
+    log.line("request rejected unsent: out of memory for heads (total: " + ++headRejections + ")");
+  }
+
   void recordSocketRejection() {
     log.line("request rejected unsent: out of sockets (total: " + ++socketRejections + ")");
   }
@@ -346,6 +354,10 @@
     return budget;
   }
 
+  HeadBudget headBudget() {
+    return headBudget;
+  }
+
   Log log() {
     return log;
   }
--- a/src/main/java/leadferry/http/HttpUpstreamConnection.java
+++ b/src/main/java/leadferry/http/HttpUpstreamConnection.java
@@ -24,6 +24,7 @@
   /** Response decoder that detects bytes behind the end of a response. */
   static final class Decoder extends HttpResponseDecoder {
     private boolean expectsNoBody;
+    private int fieldCount;
 
     Decoder(HttpDecoderConfig config) {
       super(config);
@@ -33,6 +34,12 @@
       return actualReadableBytes() > 0;
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+      fieldCount = 0;
+      return super.createMessage(initialLine);
+    }
+
     /**
      * Rejects a header line without a name or colon. Guards against malformed heads: netty ends a
      * name at white space, even without a colon.
@@ -42,6 +49,9 @@
       if (length == 0 || line[start + length] != ':') {
         throw new IllegalArgumentException("header line: missing name or colon");
       }
+      if (++fieldCount > HeadBudget.MAX_FIELDS) {
+        throw new IllegalArgumentException("head: too many fields");
+      }
       return super.splitHeaderName(line, start, length);
     }
 
--- a/src/main/java/leadferry/http/PipelineQueue.java
+++ b/src/main/java/leadferry/http/PipelineQueue.java
@@ -3,6 +3,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
@@ -21,12 +22,19 @@
   static final int MAX_KEPT_BYTES = 1 << 20;
 
   /** Part of a request that arrived during another request, and its arrival time (ns). */
-  private record QueuedPart(HttpObject part, long receivedAtNanos) {}
+  private record QueuedPart(
+      HttpObject part, long receivedAtNanos, HeadBudget.Reservation headMemory) {
+    void release() {
+      ReferenceCountUtil.release(part);
+      headMemory.release();
+    }
+  }
 
   private final ClientConnection connection;
   private final SocketChannel channel;
   private final RequestDecoder decoder;
   private final RequestIntake intake;
+  private final HeadBudget headBudget;
   private final int maxQueuedRequests;
   private final ArrayDeque<QueuedPart> parts = new ArrayDeque<>(0);
   private int completeRequests;
@@ -42,11 +50,13 @@
       SocketChannel channel,
       RequestDecoder decoder,
       RequestIntake intake,
+      HeadBudget headBudget,
       int maxQueuedRequests) {
     this.connection = connection;
     this.channel = channel;
     this.decoder = decoder;
     this.intake = intake;
+    this.headBudget = headBudget;
     this.maxQueuedRequests = maxQueuedRequests;
   }
 
@@ -97,9 +107,14 @@
   /** Queues part of a request that arrived at {@code receivedAtNanos}, and stops reading. */
   void add(HttpObject part, long receivedAtNanos) {
     channel.config().setAutoRead(false);
-    parts.add(new QueuedPart(ReferenceCountUtil.retain(part), receivedAtNanos));
+    HeadBudget.Reservation headMemory = headBudget.open();
+    boolean hasMemory =
+        !(part instanceof HttpRequest request)
+            || headMemory.resize(HeadBudget.sizeOf(request.headers(), request.uri().length()));
+    parts.add(new QueuedPart(ReferenceCountUtil.retain(part), receivedAtNanos, headMemory));
     queuedBytes += contentBytes(part);
-    if (part instanceof LastHttpContent && ++completeRequests >= maxQueuedRequests) {
+    boolean isFull = part instanceof LastHttpContent && ++completeRequests >= maxQueuedRequests;
+    if (isFull || !hasMemory) {
       decoder.pause();
     }
   }
@@ -139,10 +154,11 @@
       if (next.part() instanceof LastHttpContent) {
         completeRequests--;
       }
+      next.headMemory().release(); // the intake reserves its own
       try {
         intake.onPart(next.part(), next.receivedAtNanos());
       } finally {
-        ReferenceCountUtil.release(next.part());
+        next.release();
       }
     }
   }
@@ -167,7 +183,7 @@
   void clear() {
     QueuedPart next;
     while ((next = parts.poll()) != null) {
-      ReferenceCountUtil.release(next.part());
+      next.release();
     }
     completeRequests = 0;
     queuedBytes = 0;
--- a/src/main/java/leadferry/http/RequestDecoder.java
+++ b/src/main/java/leadferry/http/RequestDecoder.java
@@ -7,15 +7,24 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.util.List;
 import leadferry.engine.ReadLagTracker;
 
 /**
  * Request decoder that validates heads strictly (see {@link HeadScanner}), tracks since when a
  * request is being received, and can be paused so that pipelined requests stay undecoded.
+ *
+ * <p>A head is decoded once it is complete. Guards against heads that never are: decoded fields
+ * take many times their length in memory.
  */
 final class RequestDecoder extends HttpRequestDecoder {
+  /** Number of bytes up to which an incomplete head stays undecoded. */
+  private static final int MAX_UNDECODED_HEAD_BYTES = 16 * 1024;
+
   private final HeadScanner scanner = new HeadScanner();
+  private final HeadBudget.Reservation undecodedHead;
   private boolean receiving;
   private long receivingSinceNanos;
   private boolean inHead = true;
@@ -29,8 +38,9 @@
    */
   private final long acceptedIteration = ReadLagTracker.loopIterations();
 
-  RequestDecoder() {
+  RequestDecoder(HeadBudget headBudget) {
     super(HttpProtocol.DECODER_CONFIG);
+    this.undecodedHead = headBudget.open();
   }
 
   @Override
@@ -51,13 +61,18 @@
     if (inHead) {
       scan(buffer);
       if (scanner.isInvalid()) {
-        buffer.skipBytes(buffer.readableBytes());
-        HttpMessage invalidMessage = createInvalidMessage();
-        invalidMessage.setDecoderResult(
-            DecoderResult.failure(new IllegalArgumentException("request head is invalid")));
-        out.add(invalidMessage);
+        reject(buffer, out, invalidHead());
+        return;
+      }
+      if (!scanner.isDone() && buffer.readableBytes() <= MAX_UNDECODED_HEAD_BYTES) {
+        if (!undecodedHead.resize(buffer.readableBytes())) {
+          reject(buffer, out, new HeadMemoryException());
+        }
         return;
       }
+      if (scanner.isDone()) {
+        undecodedHead.release();
+      }
     }
     int startIndex = buffer.readerIndex();
     super.decode(ctx, buffer, out);
@@ -69,6 +84,21 @@
     }
   }
 
+  private Exception invalidHead() {
+    return scanner.hasTooManyFields()
+        ? new TooLongHttpHeaderException("request head has too many fields")
+        : new IllegalArgumentException("request head is invalid");
+  }
+
+  /** Discards the input and passes on a message that can't be read for this reason. */
+  private void reject(ByteBuf buffer, List<Object> out, Exception reason) {
+    undecodedHead.release();
+    buffer.skipBytes(buffer.readableBytes());
+    HttpMessage invalidMessage = createInvalidMessage();
+    invalidMessage.setDecoderResult(DecoderResult.failure(reason));
+    out.add(invalidMessage);
+  }
+
   /** Continues to scan the current head behind the bytes that are already scanned. */
   private void scan(ByteBuf buffer) {
     int startIndex = buffer.readerIndex() + scannedBytes;
@@ -83,6 +113,17 @@
     throw new IllegalArgumentException("Content-Length with Transfer-Encoding");
   }
 
+  /** Returns the response status for a request that can't be decoded for this reason. */
+  static int statusOf(Throwable failure) {
+    if (failure instanceof HeadMemoryException) {
+      return 503;
+    }
+    if (failure instanceof TooLongHttpLineException) {
+      return 414;
+    }
+    return failure instanceof TooLongHttpHeaderException ? 431 : 400;
+  }
+
   /** Stops decoding until {@link #resume}; input stays in the buffer. */
   void pause() {
     paused = true;
@@ -137,6 +178,7 @@
   @Override
   protected void handlerRemoved0(ChannelHandlerContext ctx) {
     removed = true;
+    undecodedHead.release();
   }
 
   /** Handles the end of a request; returns true if further input follows it. */
--- a/src/main/java/leadferry/http/RequestHead.java
+++ b/src/main/java/leadferry/http/RequestHead.java
@@ -17,6 +17,7 @@
   private boolean http10;
   private long announcedBodyBytes;
   private long receivedAtNanos;
+  private HeadBudget.Reservation memory;
 
   RequestHead(HttpServer server, SocketChannel channel) {
     this.server = server;
@@ -38,6 +39,11 @@
         rejectionStatus != 0
             ? FilterResult.reject(rejectionStatus)
             : server.filter().evaluate(newRequest, channel.remoteAddress());
+    memory = server.headBudget().open();
+    if (!memory.resize(HeadBudget.sizeOf(newRequest.headers(), newRequest.uri().length()))) {
+      server.recordHeadRejection();
+      return 503;
+    }
     announcedBodyBytes = HttpUtil.getContentLength(newRequest, 0L);
     if (rejectionStatus == 0 && announcedBodyBytes > maxBodyBytes()) {
       return 413;
@@ -93,6 +99,13 @@
     return HttpUtil.getContentLength(request, -1L);
   }
 
+  /** Returns the memory of the head and transfers it to the caller, who must release it. */
+  HeadBudget.Reservation takeMemory() {
+    HeadBudget.Reservation taken = memory;
+    memory = null;
+    return taken;
+  }
+
   /** Returns the request. It belongs to the engine once the engine has accepted the call. */
   HttpRequest request() {
     return request;
@@ -110,6 +123,10 @@
    * was dropped.
    */
   void releaseFilterResult() {
+    if (memory != null) {
+      memory.release();
+      memory = null;
+    }
     if (filterResult != null) {
       Runnable done = filterResult.onDone();
       filterResult = null;
--- a/src/main/java/leadferry/http/RequestIntake.java
+++ b/src/main/java/leadferry/http/RequestIntake.java
@@ -12,8 +12,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import leadferry.engine.Body;
 import leadferry.engine.Dispatcher;
 import leadferry.loadbalancer.RequestArrival;
@@ -134,7 +132,7 @@
    */
   void onPart(HttpObject part, long receivedAtNanos) {
     if (part.decoderResult().isFailure()) {
-      client.reject(statusForFailure(part.decoderResult().cause()));
+      rejectUnreadable(part.decoderResult().cause());
       return;
     }
     if (part instanceof HttpRequest request) {
@@ -156,12 +154,11 @@
     }
   }
 
-  /** Returns the response status for a request that can't be decoded. */
-  private static int statusForFailure(Throwable decoderFailure) {
-    if (decoderFailure instanceof TooLongHttpLineException) {
-      return 414;
+  private void rejectUnreadable(Throwable decoderFailure) {
+    if (decoderFailure instanceof HeadMemoryException) {
+      server.recordHeadRejection();
     }
-    return decoderFailure instanceof TooLongHttpHeaderException ? 431 : 400;
+    client.reject(RequestDecoder.statusOf(decoderFailure));
   }
 
   private void beginRequest(HttpRequest request, long receivedAtNanos) {
@@ -207,6 +204,7 @@
         new HttpCall(
             responseWriter,
             head.request(),
+            head.takeMemory(),
             null,
             upload,
             Headers.EMPTY,
@@ -339,7 +337,15 @@
       return;
     }
     HttpCall call =
-        new HttpCall(responseWriter, request, body, null, trailers, result.streaming(), 0);
+        new HttpCall(
+            responseWriter,
+            request,
+            head.takeMemory(),
+            body,
+            null,
+            trailers,
+            result.streaming(),
+            0);
     client.beginCall(call);
     result.target().submit(call, result.arrival().withBudget(remainingMillis), result.fallback());
   }
--- a/src/main/java/leadferry/http/ResponseWriter.java
+++ b/src/main/java/leadferry/http/ResponseWriter.java
@@ -104,6 +104,11 @@
     return client.closeIfDisconnected();
   }
 
+  /** Returns the budget for message heads. */
+  HeadBudget headBudget() {
+    return server.headBudget();
+  }
+
   private static ByteBuf joinBlocks(Body body) {
     ByteBuf[] blocks = body.retainedBlocks().toArray(ByteBuf[]::new);
     return blocks.length == 1 ? blocks[0] : Unpooled.wrappedBuffer(blocks);
--- a/src/main/java/leadferry/proxy/GracefulShutdown.java
+++ b/src/main/java/leadferry/proxy/GracefulShutdown.java
@@ -95,7 +95,7 @@
   private void poll() {
     try {
       checkProgress(System.nanoTime());
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       log.failure("drain check failed", e);
       if (System.nanoTime() < exitAtNanos) {
         schedulePoll();
--- a/src/main/java/leadferry/proxy/Proxy.java
+++ b/src/main/java/leadferry/proxy/Proxy.java
@@ -10,11 +10,13 @@
 import java.util.concurrent.TimeUnit;
 import leadferry.engine.BodyBudget;
 import leadferry.engine.Dispatcher;
+import leadferry.engine.ErrorContainment;
 import leadferry.engine.Log;
 import leadferry.engine.NioTransport;
 import leadferry.engine.SocketBudget;
 import leadferry.engine.Transport;
 import leadferry.engine.UpstreamConnectionPool;
+import leadferry.http.HeadBudget;
 import leadferry.http.HttpProtocol;
 import leadferry.http.HttpServer;
 import leadferry.http.HttpServerSettings;
@@ -70,7 +72,9 @@
     this.log = log;
     this.group =
         new MultiThreadIoEventLoopGroup(
-            1, new DefaultThreadFactory("loop", true), TRANSPORT.ioHandlerFactory());
+            1,
+            new DefaultThreadFactory("loop", true),
+            ErrorContainment.wrap(TRANSPORT.ioHandlerFactory(), log));
     this.loop = (EventLoop) group.next();
     this.socketBudget =
         new SocketBudget(
@@ -92,6 +96,7 @@
             TRANSPORT,
             socketBudget,
             bodyBudget,
+            HeadBudget.ofHeap(1),
             log);
     this.discoveryWatch = new DiscoveryWatch(group, config, dispatcher, log);
     this.configReloader = new ConfigReloader(loop, config, requestFilter, log, this::onReload);
@@ -126,6 +131,7 @@
       loop.submit(this::applyOperatorState).sync(); // calls made before the listener was set
       loop.submit(this::runHousekeeping).sync();
     } catch (Exception e) {
+      lifecycle.advance(ProxyLifecycle.State.ENDED);
       group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
       if (isSocketFailure(e)) {
         throw new ConfigException(
@@ -204,7 +210,7 @@
       httpServer.enforceTimeouts();
       discoveryWatch.checkTimeouts();
       configReloader.reloadIfChanged();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       // Guards against the end of the periodic task: its first exception would cancel it.
       log.failure("housekeeping failed", e);
     }
@@ -259,10 +265,15 @@
     lifecycle.awaitEnd();
   }
 
+  /** Whether the start has failed, or the proxy has drained or was stopped. */
+  boolean hasEnded() {
+    return lifecycle.hasEnded();
+  }
+
   /** Shuts the event loop down at once, without a drain. */
   void stop() {
-    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     lifecycle.advance(ProxyLifecycle.State.ENDED);
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
   }
 
   InetSocketAddress address() {
--- a/src/main/java/leadferry/proxy/ProxyLifecycle.java
+++ b/src/main/java/leadferry/proxy/ProxyLifecycle.java
@@ -49,6 +49,11 @@
     return state.compareTo(State.DRAINING) >= 0;
   }
 
+  /** Whether the proxy has ended. */
+  boolean hasEnded() {
+    return state == State.ENDED;
+  }
+
   void awaitEnd() {
     await(ended);
   }
--- a/src/main/java/leadferry/proxy/ProxyProcess.java
+++ b/src/main/java/leadferry/proxy/ProxyProcess.java
@@ -4,6 +4,7 @@
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.util.Map;
 import leadferry.engine.BackgroundWriter;
+import leadferry.engine.ErrorContainment;
 import leadferry.engine.LineLog;
 import leadferry.engine.Log;
 import leadferry.engine.Signals;
@@ -21,6 +22,9 @@
   /** Maximum time for which the exit waits for the last log lines to be written. */
   private static final long LOG_FLUSH_TIMEOUT_MILLIS = 50;
 
+  /** Exit status of a process whose event loop has ended. */
+  private static final int EXIT_LOOP_ENDED = 70;
+
   private ProxyProcess() {}
 
   /**
@@ -41,6 +45,7 @@
     }
     WarmUp.run(config, hotRestart.readOtherProcesses() != null, log);
     Proxy proxy = new Proxy(config, operatorState, hotRestart, log);
+    ErrorContainment.onLoopEnded(proxy.loop(), proxy::hasEnded, () -> exitWithoutLoop(log, writer));
     reloadOnHangup(proxy, environment.get(Config.FILE_VARIABLE), log);
     // Guards requests accepted right after the start: without a hook, SIGTERM ends the process at
     // once.
@@ -80,6 +85,12 @@
     }
   }
 
+  private static void exitWithoutLoop(Log log, BackgroundWriter writer) {
+    log.line("event loop ended: nothing is served any more, the process exits");
+    writer.flush(LOG_FLUSH_TIMEOUT_MILLIS);
+    Runtime.getRuntime().halt(EXIT_LOOP_ENDED);
+  }
+
   /** Handles SIGTERM. A completed drain exits with status 0, in place of the JVM's 143. */
   private static void terminate(Proxy proxy, BackgroundWriter writer) {
     if (proxy.awaitStart()) {
--- a/src/main/java/leadferry/proxy/SharedLimits.java
+++ b/src/main/java/leadferry/proxy/SharedLimits.java
@@ -13,9 +13,9 @@
  */
 final class SharedLimits {
   /** Part of the memory limit that the JVM needs besides bodies. */
-  private static final long JVM_MEGABYTES = 88;
+  private static final long JVM_MEGABYTES = 92;
 
-  private static final long MIN_BODY_MEGABYTES = 8;
+  private static final long MIN_BODY_MEGABYTES = 4;
   private static final long MAX_BODY_MEGABYTES = 80;
   private static final int MEGABYTE_SHIFT = 20;
 
@@ -75,7 +75,7 @@
               socketBudget.upstreamCount(),
               bodyBudget.usedBytes()));
       update(hotRestart.readOtherProcesses());
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       log.failure("hot restart: exchange of states failed", e); // The next exchange tries again.
     }
     long intervalMillis = shared ? SHARED_INTERVAL_MILLIS : ALONE_INTERVAL_MILLIS;
--- a/src/test/java/leadferry/proxy/CrowdMemoryTest.java
+++ b/src/test/java/leadferry/proxy/CrowdMemoryTest.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,6 +15,7 @@
 import java.util.concurrent.Future;
 import leadferry.soak.ProxyProcess;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -153,6 +155,7 @@
       case "slow bodies" -> CrowdMemoryTest::sendBodySlowly;
       case "half bodies" -> CrowdMemoryTest::sendHalfBody;
       case "short fields" -> CrowdMemoryTest::sendShortFields;
+      case "long heads" -> CrowdMemoryTest::sendLongHead;
       case "half heads" -> CrowdMemoryTest::sendHalfHead;
       default -> CrowdMemoryTest::readSlowly;
     };
@@ -181,6 +184,18 @@
     ProxyFixture.readMessage(socket.getInputStream());
   }
 
+  /** Sends a head of 16,000 bytes in 100 fields; its request is open until its deadline. */
+  private static void sendLongHead(Socket socket, int number) throws IOException {
+    String field = "X-Field: " + "v".repeat(HEAD_BYTES / 100 - 11) + "\r\n";
+    String lines = field.repeat(97);
+    ProxyFixture.write(
+        socket,
+        ProxyFixture.atMostOnceRequest(
+            uniqueId("silent", number),
+            "Content-Length: 0\r\n" + lines.substring(0, lines.length() - 2)));
+    ProxyFixture.readMessage(socket.getInputStream());
+  }
+
   private static void sendHalfHead(Socket socket, int number) throws IOException {
     String head = headOfShortFields(uniqueId("half", number));
     ProxyFixture.write(socket, head.substring(0, head.length() - 4));
@@ -210,9 +225,22 @@
       throws Exception {
     start(memoryMegabytes, sockets);
     List<Integer> statuses = runCrowd(client(kind));
-    assertThat(process.isAlive()).isTrue();
     assertThat(usualRequest("after")).as("status of a request after the crowd").isEqualTo(200);
     assertThat(statuses).hasSizeGreaterThan(MIN_USUAL_REQUESTS).containsOnly(200);
+    assertMemoryWithin(memoryMegabytes);
+  }
+
+  /** The budget for heads binds: some of the long heads are rejected for want of memory. */
+  @Test
+  void headsAreLimitedByTheirBudget() throws Exception {
+    start(96, 512);
+    runCrowd(client("long heads"));
+    assertThat(Files.readString(process.logFile())).contains("out of memory for heads");
+    assertMemoryWithin(96);
+  }
+
+  private void assertMemoryWithin(int memoryMegabytes) throws IOException {
+    assertThat(process.isAlive()).isTrue();
     long limitMegabytes =
         memoryMegabytes + (ProxyProcess.runsFromClassPath() ? CLASS_PATH_MEGABYTES : 0);
     assertThat(process.peakMemoryKilobytes()).isLessThan(limitMegabytes * 1_024);
--- a/src/test/java/leadferry/proxy/ProxyFixture.java
+++ b/src/test/java/leadferry/proxy/ProxyFixture.java
@@ -44,7 +44,7 @@
   int listenPort;
   int seed = 7;
 
-  /** Memory limit (MB); the part above 88 MB is for bodies. */
+  /** Memory limit (MB); the part above 92 MB is for bodies. */
   int memoryMegabytes = 128;
 
   /** Whether the settings allow attempts to be cancelled. */
--- a/src/test/java/leadferry/proxy/TerminationRaceTest.java
+++ b/src/test/java/leadferry/proxy/TerminationRaceTest.java
@@ -460,7 +460,7 @@
   void bodyWaitingForMemoryIsNotSentAfterItsClientLeft() throws Exception {
     fixture.close();
     fixture = new ProxyFixture(folder, 512);
-    fixture.memoryMegabytes = 96; // 8 MB for bodies
+    fixture.memoryMegabytes = 100; // 8 MB for bodies
     fixture.deadlineMillis = 1_500;
     int size = 65_536;
     ProxyFixture.UpstreamHost hangs = fixture.new UpstreamHost(h -> null);
--- a/src/test/java/leadferry/proxy/UnreadBodyTest.java
+++ b/src/test/java/leadferry/proxy/UnreadBodyTest.java
@@ -133,7 +133,7 @@
   /** review/REPORT.md: bodies that fill the memory kept others unread for seconds. */
   @Test
   void requestThatWaitsForMemoryIsRejectedInItsTime() throws Exception {
-    fixture.memoryMegabytes = 96; // 8 MB for bodies
+    fixture.memoryMegabytes = 100; // 8 MB for bodies
     fixture.deadlineMillis = 6 * DEADLINE_MILLIS;
     ProxyFixture.UpstreamHost host = fixture.new UpstreamHost(request -> null);
     fixture.start(host);
--- a/src/test/java/leadferry/soak/ProxyProcess.java
+++ b/src/test/java/leadferry/soak/ProxyProcess.java
@@ -106,7 +106,8 @@
     return folder.resolve("faults.log");
   }
 
-  Path logFile() {
+  /** Returns the file with what the process writes to its standard streams. */
+  public Path logFile() {
     return folder.resolve("proxy.log");
   }
 
