--- a/src/test/java/leadferry/soak/SoakPlan.java
+++ b/src/test/java/leadferry/soak/SoakPlan.java
@@ -50,12 +50,27 @@
     DRAIN_NOTICES_DROPPED
   }
 
+  /** Signal that follows the SIGTERM of a restart. */
+  enum FollowUp {
+    TERM,
+    HUP,
+    /** SIGSTOP, and SIGCONT a moment later. */
+    PAUSE
+  }
+
+  /** Series of signals that follow the SIGTERM of a restart, by the argument of its event. */
+  static final List<List<FollowUp>> FOLLOW_UPS =
+      List.of(
+          List.of(),
+          List.of(FollowUp.TERM, FollowUp.HUP, FollowUp.TERM),
+          List.of(FollowUp.HUP, FollowUp.PAUSE, FollowUp.HUP),
+          List.of(FollowUp.PAUSE, FollowUp.TERM, FollowUp.PAUSE));
+
   /** Kind of an event during a run. */
   enum EventKind {
     /**
-     * Sends SIGTERM to a proxy, then the signal selected by {@code argument}, and SIGKILL as early
-     * as the protocol page allows; starts a new process. The argument is 0 for no second signal, 1
-     * for SIGTERM, 2 for SIGHUP, 3 for SIGSTOP and SIGCONT.
+     * Sends SIGTERM to a proxy, then the series of {@link #FOLLOW_UPS} that {@code argument}
+     * selects, and SIGKILL as early as the protocol page allows; starts a new process.
      */
     RESTART,
     /** Sends SIGHUP to a proxy. */
--- a/src/test/java/leadferry/soak/SoakRun.java
+++ b/src/test/java/leadferry/soak/SoakRun.java
@@ -297,9 +297,9 @@
   /**
    * Sends SIGTERM to a proxy, sends SIGKILL as early as the protocol page allows, and starts the
    * next process at the same address. Restarts of the same proxy run one after the other. {@code
-   * secondSignal} is 0 for none, 1 for another SIGTERM, 2 for SIGHUP, and 3 for a pause of 0.1 s.
+   * series} is an index of {@link SoakPlan#FOLLOW_UPS}.
    */
-  private void restart(ProxyNode node, long secondSignal) {
+  private void restart(ProxyNode node, long series) {
     node.restartLock.lock();
     try {
       if (!running) {
@@ -311,13 +311,12 @@
       long killAtNanos = System.nanoTime() + (longestDeadlineMs + KILL_MARGIN_MS) * 1_000_000;
       long acceptUntilNanos = System.nanoTime() + ACCEPT_AFTER_TERM_MS * 1_000_000;
       node.process.signal("TERM");
-      Thread.sleep(SIGNAL_INTERVAL_MS);
-      switch ((int) secondSignal) {
-        case 1 -> node.process.signal("TERM");
-        case 2 -> node.process.signal("HUP");
-        case 3 -> pause(node, PAUSE_MS);
-        default -> {
-          // no second signal
+      for (SoakPlan.FollowUp followUp : SoakPlan.FOLLOW_UPS.get((int) series)) {
+        Thread.sleep(SIGNAL_INTERVAL_MS);
+        switch (followUp) {
+          case TERM -> node.process.signal("TERM");
+          case HUP -> node.process.signal("HUP");
+          case PAUSE -> pause(node, PAUSE_MS);
         }
       }
       sleepUntil(acceptUntilNanos);
