Let a flood on one connection of the daemon neither fill the memory nor hold up the others

Cause, in the daemon: requests that need no host (health, no route, unsound) were answered as they were decoded, whether or not the client read its responses, and up to 16 reads of them in one turn of the loop. A body in tiny chunks cost a write and some hundred bytes of memory for each chunk. Change: a request waits in the queue while its client does not read, and after 16 requests of its connection until the others had a turn of 1 ms. Parts of an upload under 1 KiB are joined until the read is over (ChunkAggregator).

--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -103,7 +103,8 @@
       } else if (discarded.isSkipping()) {
         timeouts.markUsed();
         discarded.skip((HttpObject) message);
-      } else if (intake.upload() != null || (call == null && pipeline.isEmpty())) {
+      } else if (intake.upload() != null
+          || (call == null && pipeline.isEmpty() && !pipeline.mustWait((HttpObject) message))) {
         intake.onPart((HttpObject) message, timeouts.earliestReceiptNanos());
       } else if (server.settings().maxPipelinedRequests() > 1) {
         pipeline.add((HttpObject) message, timeouts.earliestReceiptNanos());
@@ -115,17 +116,29 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    pipeline.onReadComplete();
+    if (intake.upload() != null) {
+      intake.upload().onReadComplete();
+    }
+  }
+
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    if (call != null && channel.isWritable()) {
+    if (!channel.isWritable()) {
+      return;
+    }
+    if (call != null) {
       responseWriter.onWritable();
       call.onClientWritable();
+    } else {
+      pipeline.scheduleDrain();
     }
   }
 
   // --- the current request
 
-  /** Whether the connection still accepts requests. */
   boolean acceptsRequests() {
     return state.acceptsRequests();
   }
@@ -150,7 +163,6 @@
     return disconnectDetector.closeIfDisconnected();
   }
 
-  /** Returns the queue of pipelined requests. */
   PipelineQueue pipeline() {
     return pipeline;
   }
@@ -254,7 +266,6 @@
     channel.config().setAutoRead(true);
   }
 
-  /** Removes the decoder, so that no further request is decoded. */
   void removeDecoder() {
     if (decoder.isInPipeline()) {
       channel.pipeline().remove(decoder);
@@ -296,11 +307,7 @@
   /** Logs a response that the load balancer generates itself, except for health checks. */
   void logLocalResponse(int status) {
     FilterResult filterResult = intake.filterResult();
-    boolean healthCheck =
-        filterResult != null
-            && filterResult.status() == status
-            && filterResult.origin() == null
-            && !filterResult.closesConnection();
+    boolean healthCheck = filterResult != null && filterResult.isHealthCheck(status);
     if (!healthCheck && !rejectionLogged) {
       logOutcome(RequestLog.outcome(status), status);
     }
@@ -319,8 +326,6 @@
     log.logUnreadBody(call, receivedBytes, unreadBytes, unreadMillis);
   }
 
-  // --- maintenance
-
   /** Whether the connection carries part of a request or an unfinished response. */
   boolean isBusy() {
     return call != null
--- a/src/main/java/leadferry/http/FilterResult.java
+++ b/src/main/java/leadferry/http/FilterResult.java
@@ -49,6 +49,11 @@
         status, false, retryAfterMillis, null, null, null, Streaming.NEVER, origin, NO_CALLBACK);
   }
 
+  /** Whether this result answers a health check with this status. */
+  boolean isHealthCheck(int responseStatus) {
+    return status == responseStatus && origin == null && !closesConnection;
+  }
+
   /** Returns a result that forwards the request to a pool. */
   public static FilterResult forward(
       Dispatcher target,
--- a/src/main/java/leadferry/http/PipelineQueue.java
+++ b/src/main/java/leadferry/http/PipelineQueue.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 import leadferry.engine.Transport;
 
 /**
@@ -21,6 +22,15 @@
   /** Maximum input (bytes) behind the current request that is read to find the client's end. */
   static final int MAX_KEPT_BYTES = 1 << 20;
 
+  /**
+   * Maximum number of requests of one connection that begin before other connections have their
+   * turn.
+   */
+  private static final int MAX_REQUESTS_PER_TURN = 16;
+
+  /** Length (ms) of the turn of the others. */
+  private static final long YIELD_MILLIS = 1;
+
   /** Part of a request that arrived during another request, and its arrival time (ns). */
   private record QueuedPart(
       HttpObject part, long receivedAtNanos, HeadBudget.Reservation headMemory) {
@@ -40,6 +50,7 @@
   private int completeRequests;
   private int queuedBytes;
   private boolean drainScheduled;
+  private int requestsInTurn;
 
   /**
    * Creates a queue that pauses the decoder once it holds {@code maxQueuedRequests} complete
@@ -64,6 +75,35 @@
     return parts.isEmpty();
   }
 
+  /**
+   * Whether the part begins a request that has to wait, because the client does not read its
+   * responses, or because others have their turn. Guards against a flood of requests that need no
+   * upstream host: its responses would fill the memory, and all others would wait. Only where
+   * requests may be pipelined; elsewhere a second request in one read ends the connection.
+   */
+  boolean mustWait(HttpObject part) {
+    if (maxQueuedRequests == 0 || !(part instanceof HttpRequest)) {
+      return false;
+    }
+    return !channel.isWritable() || ++requestsInTurn > MAX_REQUESTS_PER_TURN;
+  }
+
+  /** Processes the end of a read: the next read has a turn of its own. */
+  void onReadComplete() {
+    if (parts.isEmpty()) {
+      requestsInTurn = 0;
+    } else if (connection.call() == null) {
+      yieldTurn();
+    }
+  }
+
+  private void yieldTurn() {
+    if (!drainScheduled) {
+      drainScheduled = true;
+      channel.eventLoop().schedule(this::drain, YIELD_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
   /** Whether nothing is read from the client, so that its end is not seen either. */
   boolean isReadingPaused() {
     return !channel.config().isAutoRead();
@@ -133,7 +173,11 @@
 
   private void drain() {
     drainScheduled = false;
+    requestsInTurn = 0;
     processQueuedParts();
+    if (connection.call() == null && !parts.isEmpty() && channel.isWritable()) {
+      yieldTurn();
+    }
     if (!canTakeNextRequest() || !channel.isActive()) {
       return;
     }
@@ -149,7 +193,9 @@
     QueuedPart next;
     while (connection.call() == null
         && connection.acceptsRequests()
-        && (next = parts.poll()) != null) {
+        && !parts.isEmpty()
+        && !mustWait(parts.peek().part())) {
+      next = parts.poll();
       queuedBytes -= contentBytes(next.part());
       if (next.part() instanceof LastHttpContent) {
         completeRequests--;
--- a/src/main/java/leadferry/http/RequestBodyUpload.java
+++ b/src/main/java/leadferry/http/RequestBodyUpload.java
@@ -1,6 +1,7 @@
 package leadferry.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.handler.codec.http.HttpHeaders;
 import leadferry.engine.Body;
 import leadferry.engine.BodyBudget;
@@ -34,6 +35,7 @@
   private final RequestIntake client;
   private final BodyBudget budget;
   private final Body replayBuffer;
+  private final ChunkAggregator outgoing;
   private HttpAttempt currentAttempt;
   private HttpHeaders trailers;
   private boolean replayable = true;
@@ -46,11 +48,17 @@
    * Creates an upload; takes ownership of {@code receivedBody}, the part that has arrived already,
    * or null.
    */
-  RequestBodyUpload(RequestIntake client, Dispatcher pool, Body receivedBody, BodyBudget budget) {
+  RequestBodyUpload(
+      RequestIntake client,
+      Dispatcher pool,
+      Body receivedBody,
+      BodyBudget budget,
+      ByteBufAllocator allocator) {
     this.client = client;
     this.budget = budget;
     this.replayBuffer = receivedBody == null ? pool.newBody(-1, true) : receivedBody;
     this.receivedBytes = replayBuffer.size();
+    this.outgoing = new ChunkAggregator(allocator);
   }
 
   /** Returns the number of received bytes. */
@@ -71,18 +79,27 @@
       }
     }
     if (currentAttempt != null) {
-      currentAttempt.writeUploadContent(part);
+      outgoing.add(part, currentAttempt::writeUploadContent);
     } else {
       part.release();
     }
     updateFlowControl();
   }
 
+  /** Sends what has arrived; called when no more input is available for now. */
+  void onReadComplete() {
+    if (currentAttempt != null) {
+      outgoing.flush(currentAttempt::writeUploadContent);
+      updateFlowControl();
+    }
+  }
+
   /** Handles the end of the body and its trailers. */
   void onEnd(HttpHeaders receivedTrailers) {
     trailers = receivedTrailers;
     replayBuffer.onRequestComplete();
     if (currentAttempt != null) {
+      outgoing.flush(currentAttempt::writeUploadContent);
       currentAttempt.writeUploadEnd(receivedTrailers);
     }
   }
@@ -117,6 +134,7 @@
   void detach(HttpAttempt attempt) {
     if (currentAttempt == attempt) {
       currentAttempt = null;
+      outgoing.clear();
       updateFlowControl();
     }
   }
@@ -153,6 +171,7 @@
   }
 
   void releaseReplayBuffer() {
+    outgoing.clear();
     replayable = false;
     replayBuffer.release();
   }
--- a/src/test/java/leadferry/soak/ProxyProcess.java
+++ b/src/test/java/leadferry/soak/ProxyProcess.java
@@ -92,7 +92,7 @@
    * Returns a daemon with this operator's file. It counts as ready with any response, because it
    * also responds to requests without a route.
    */
-  static ProxyProcess daemon(Path operatorFile, Path folder, int port) {
+  public static ProxyProcess daemon(Path operatorFile, Path folder, int port) {
     List<String> arguments = List.of("daemon", "--config", operatorFile.toString());
     return new ProxyProcess(
         new Kind(List.of("-Xmx128m"), arguments, "HTTP/1.1 "), operatorFile, folder, port, 0);
