Don't run an id again whose client has left, nor one that is open in the other process of an upgrade

Cause: the ids of open requests were a set of one process, and an id left it when its client closed its connection, although a host had the request or could have run it. An id that never ran, or has its answer, is free at once. The daemon does not ask for unique ids and is as it was.

--- a/src/main/java/leadferry/daemon/Worker.java
+++ b/src/main/java/leadferry/daemon/Worker.java
@@ -156,6 +156,7 @@
                 socketBudget,
                 bodyBudget,
                 headBudget,
+                null,
                 log.withField("listener", listener.name()));
         newServer.setClientShedding(clientShedding);
         servers.put(listener.name(), newServer);
--- a/src/main/java/leadferry/engine/Exchange.java
+++ b/src/main/java/leadferry/engine/Exchange.java
@@ -125,6 +125,15 @@
     return attempts.size() == 0 ? null : attempts.get(attempts.size() - 1).host.name;
   }
 
+  /**
+   * Whether a host may have run the request in this pool, or may still do so, and running it again
+   * would have a second effect.
+   */
+  public boolean mayHaveHadEffect() {
+    boolean isRepeatable = policy.requestClass().semantics() == Settings.Semantics.IDEMPOTENT;
+    return !isRepeatable && (mayHaveRun || attempts.mayAnyHaveRun());
+  }
+
   // --- attempts
 
   /**
--- a/src/main/java/leadferry/engine/ExchangeAttempts.java
+++ b/src/main/java/leadferry/engine/ExchangeAttempts.java
@@ -39,6 +39,16 @@
     return attempts[number];
   }
 
+  /** Whether a host may have run any of the attempts, or may still do so. */
+  boolean mayAnyHaveRun() {
+    for (int i = 0; i < size; i++) {
+      if (attempts[i].mayHaveRun()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether the response of an open attempt is being sent to the client. */
   boolean isAnyResponding() {
     for (int i = 0; i < size; i++) {
--- a/src/main/java/leadferry/http/HttpCall.java
+++ b/src/main/java/leadferry/http/HttpCall.java
@@ -106,6 +106,11 @@
     return head.headers().get("X-Request-ID");
   }
 
+  /** Whether a host may have run the request, and running it again would have a second effect. */
+  boolean mayHaveHadEffect() {
+    return exchange.mayHaveHadEffect();
+  }
+
   boolean isHead() {
     return head.method().equals(HttpMethod.HEAD);
   }
--- a/src/main/java/leadferry/http/HttpServer.java
+++ b/src/main/java/leadferry/http/HttpServer.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
-import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import leadferry.engine.AcceptBackoffHandler;
@@ -48,7 +47,7 @@
   private final HttpServerSettings settings;
   private RequestFilter filter;
   private final ClientConnections connections = new ClientConnections();
-  private final Set<String> openRequestIds = new HashSet<>();
+  private final RequestIdTable requestIds;
   private Listener listener;
   private boolean draining;
   private int openCalls;
@@ -68,6 +67,7 @@
       SocketBudget sockets,
       BodyBudget budget,
       HeadBudget headBudget,
+      RequestIdTable requestIds,
       Log log) {
     this.transport = transport;
     this.settings = settings;
@@ -75,6 +75,7 @@
     this.sockets = sockets;
     this.budget = budget;
     this.headBudget = headBudget;
+    this.requestIds = requestIds;
     this.log = log;
     sockets.setClientCloser(this::evictForUpstream);
   }
@@ -253,13 +254,9 @@
     return sockets.hasRoomForRequest(openCalls);
   }
 
-  /** Claims a request id; returns false if an open request already has it. */
-  boolean claimRequestId(String id) {
-    return openRequestIds.add(id);
-  }
-
-  void releaseRequestId(String id) {
-    openRequestIds.remove(id);
+  /** Returns the ids of requests that no other request may have. */
+  RequestIdTable requestIds() {
+    return requestIds;
   }
 
   /**
--- a/src/main/java/leadferry/http/RequestAdmission.java
+++ b/src/main/java/leadferry/http/RequestAdmission.java
@@ -19,6 +19,7 @@
   private final ClientConnection client;
   private final HttpServer server;
   private String claimedId;
+  private HttpCall admittedCall;
 
   RequestAdmission(ClientConnection client, HttpServer server) {
     this.client = client;
@@ -59,7 +60,7 @@
       return true;
     }
     String id = request.headers().get("X-Request-ID");
-    if (!server.claimRequestId(id)) {
+    if (!server.requestIds().claim(id)) {
       return false;
     }
     claimedId = id;
@@ -69,11 +70,30 @@
   /** Releases the claimed id after the request has its response or was dropped. */
   void releaseId() {
     if (claimedId != null) {
-      server.releaseRequestId(claimedId);
+      server.requestIds().release(claimedId);
       claimedId = null;
+      admittedCall = null;
     }
   }
 
+  /** Records the call of the request whose id is claimed. */
+  void onCallStarted(HttpCall call) {
+    admittedCall = call;
+  }
+
+  /**
+   * Releases the claimed id after the client has left, unless a host may have run its request: the
+   * same id would have a second effect.
+   */
+  void releaseIdAfterDisconnect() {
+    if (claimedId != null && admittedCall != null && admittedCall.mayHaveHadEffect()) {
+      server.requestIds().keepAfterDisconnect(claimedId);
+      claimedId = null;
+      admittedCall = null;
+    }
+    releaseId();
+  }
+
   /**
    * Whether the pool or the process has reached its limit of open requests; counts and logs the
    * rejection if so.
--- a/src/main/java/leadferry/http/RequestIntake.java
+++ b/src/main/java/leadferry/http/RequestIntake.java
@@ -212,6 +212,7 @@
             announcedMillis);
     long totalBytes = head.contentLength();
     head.clearRequest();
+    admission.onCallStarted(call);
     client.beginCall(call);
     pool.submit(
         call,
@@ -346,6 +347,7 @@
             trailers,
             result.streaming(),
             0);
+    admission.onCallStarted(call);
     client.beginCall(call);
     result.target().submit(call, result.arrival().withBudget(remainingMillis), result.fallback());
   }
@@ -384,6 +386,6 @@
    */
   void onClientClosed() {
     dropRequest();
-    admission.releaseId();
+    admission.releaseIdAfterDisconnect();
   }
 }
--- a/src/main/java/leadferry/proxy/HotRestart.java
+++ b/src/main/java/leadferry/proxy/HotRestart.java
@@ -11,6 +11,7 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import leadferry.http.RequestIdTable;
 
 /**
  * Coordinates the processes that serve one client address, of which there are two during an
@@ -34,6 +35,7 @@
   private static final String PREFIX = "corkproxy-";
 
   private static final String SUFFIX = ".lock";
+  private static final String REQUEST_IDS_FILE = "leadferry-request-ids";
   private static final int JOIN_ATTEMPTS = 3;
 
   /** One byte for {@code isListening}, two ints and a long. */
@@ -111,6 +113,21 @@
     return new HotRestart(null, null, null);
   }
 
+  /**
+   * Returns the table of request ids that the processes of the folder share, or one of this process
+   * alone if the folder can't be used.
+   */
+  RequestIdTable requestIds() {
+    if (folder != null) {
+      try {
+        return RequestIdTable.shared(folder.resolve(REQUEST_IDS_FILE));
+      } catch (IOException e) {
+        // A table of its own: ids are unique within this process.
+      }
+    }
+    return RequestIdTable.inMemory();
+  }
+
   /** Publishes the state of this process to the others; ignores a failed write. */
   void publish(ProcessState state) {
     try {
--- a/src/main/java/leadferry/proxy/Proxy.java
+++ b/src/main/java/leadferry/proxy/Proxy.java
@@ -97,6 +97,7 @@
             socketBudget,
             bodyBudget,
             HeadBudget.ofHeap(1),
+            hotRestart.requestIds(),
             log);
     this.discoveryWatch = new DiscoveryWatch(group, config, dispatcher, log);
     this.configReloader = new ConfigReloader(loop, config, requestFilter, log, this::onReload);
