Don't take a new process for the one that had its address before

Cause: a list that comes late names the new host while it still names the old one. Both had the same address, so attempts for the old one, with its cell and its warmth, reached the new process: a keyed request was repeated outside of its group, a cold host got a warm one's share. Change: of two listed hosts with one address, the one that started later, or with the same start the one that the list has named only now, has it (AddressReuse); the other gets nothing, what waits for it is withdrawn, and it counts as gone until a list gives it an address of its own. Two names for one address from the start stay as they are. Pools of the daemon use the same class; not tried there with real processes.

--- a/src/main/java/leadferry/engine/UpstreamHost.java
+++ b/src/main/java/leadferry/engine/UpstreamHost.java
@@ -45,6 +45,9 @@
    */
   double startedUnixMs;
 
+  /** Host that has taken over the address of this one, or null. */
+  UpstreamHost replacedBy;
+
   /** Connections that carry no attempt. */
   final IdleConnections idleConnections = new IdleConnections();
 
--- a/src/main/java/leadferry/engine/UpstreamHosts.java
+++ b/src/main/java/leadferry/engine/UpstreamHosts.java
@@ -101,8 +101,13 @@
     List<EndpointUpdate> entries = new ArrayList<>(update.members().size());
     Set<UpstreamHost> invalidated = new LinkedHashSet<>();
     Set<UpstreamHost> listed = new HashSet<>();
+    Set<UpstreamHost> added = new HashSet<>();
     for (Member member : update.members()) {
+      boolean isKnown = byName.containsKey(member.name());
       UpstreamHost host = getOrCreateHost(member.name());
+      if (!isKnown) {
+        added.add(host);
+      }
       listed.add(host);
       double started = convertStart(host, member.startedUnixMs(), now);
       entries.add(createEntry(host, member, started));
@@ -113,10 +118,23 @@
     if (update.full()) {
       invalidateUnlisted(listed, invalidated);
     }
+    for (UpstreamHost replaced : AddressReuse.findReplaced(byId.values(), added)) {
+      withdraw(replaced, entries);
+      invalidated.add(replaced);
+    }
     clock.onUpToDate(now);
     return new Change(entries, invalidated);
   }
 
+  /** Makes the host one that is gone, whatever the list says of it. */
+  private static void withdraw(UpstreamHost host, List<EndpointUpdate> entries) {
+    host.sendable = false;
+    entries.removeIf(entry -> entry.id() == host.id);
+    entries.add(
+        new EndpointUpdate(
+            host.id, host.zone, "", host.cell, EndpointUpdate.Condition.GONE, 1, host.startedAt));
+  }
+
   private UpstreamHost getOrCreateHost(String name) {
     UpstreamHost existing = byName.get(name);
     if (existing != null) {
