--- a/src/test/java/leadferry/soak/FakeDiscovery.java
+++ b/src/test/java/leadferry/soak/FakeDiscovery.java
@@ -38,6 +38,7 @@
   private final Map<String, Long> drainVersions = new ConcurrentHashMap<>();
   private long version = 40;
   private volatile boolean silent;
+  private String listAtSilence;
 
   FakeDiscovery(int proxy, SoakHistory history, ExecutorService threads) throws IOException {
     this.proxy = proxy;
@@ -76,10 +77,18 @@
   }
 
   /** While silent, discovery still accepts connections and reads requests, but sends nothing. */
-  void setSilent(boolean isSilent) {
+  synchronized void setSilent(boolean isSilent) {
+    if (isSilent && !silent) {
+      listAtSilence = endpointListJson();
+    }
     silent = isSilent;
   }
 
+  /** Returns the list as the proxy last had it: while discovery is silent, the one before. */
+  synchronized String lastToldListJson() {
+    return silent ? listAtSilence : endpointListJson();
+  }
+
   /** Closes all connections, and with them every open watch. */
   void closeWatches() throws IOException {
     for (Socket socket : connections) {
--- a/src/test/java/leadferry/soak/SoakRun.java
+++ b/src/test/java/leadferry/soak/SoakRun.java
@@ -73,6 +73,7 @@
   private final class ProxyNode implements SoakClient.Target {
     final int index;
     final FakeDiscovery discovery;
+    private final Path configuration;
     final ProxyProcess process;
     final ReentrantLock restartLock = new ReentrantLock(true);
     volatile boolean acceptsConnections;
@@ -88,10 +89,13 @@
       int port = freePort();
       Path configuration =
           Files.writeString(proxyFolder.resolve("config.json"), configuration(port, discovery));
+      this.configuration = configuration;
       this.process = ProxyProcess.platform(configuration, proxyFolder, port, discovery.port());
     }
 
     void start() throws IOException, InterruptedException {
+      // The platform tells each new process the list as the one before last had it.
+      Files.writeString(configuration, configuration(process.port(), discovery));
       long seed = plan.seed() * 31 + index;
       process.start(
           new ProxyProcess.Faults(
@@ -162,7 +166,7 @@
         + "\",\"limits\":{\"memory_mb\":128,\"sockets\":"
         + plan.descriptorLimit()
         + "},\"known\":"
-        + discovery.endpointListJson()
+        + discovery.lastToldListJson()
         + ",\"settings\":{\"classes\":["
         + "{\"name\":\"claim\",\"aim\":200,\"deadline\":"
         + profile.unsafeDeadlineMs()
--- a/src/test/java/leadferry/soak/SoakTest.java
+++ b/src/test/java/leadferry/soak/SoakTest.java
@@ -28,16 +28,32 @@
    */
   private static final long SLACK_MS = 250;
 
+  /** Length and slack of the runs with crowds, those of {@code bench/soak}. */
+  private static final long CROWD_LENGTH_MS = 8_000;
+
+  private static final long CROWD_SLACK_MS = 100;
+
   @TempDir Path folder;
 
   @ParameterizedTest
   @ValueSource(longs = {2, 3, 5, 10})
   void noRuleIsBrokenUnderDrawnFaults(long seed) throws Exception {
-    SoakPlan plan = SoakPlan.fromSeed(seed, LENGTH_MS, PROXIES);
+    play(seed, LENGTH_MS, SLACK_MS);
+  }
+
+  /** Requests that stand in the accept queue behind a crowd are told more time than they have. */
+  @ParameterizedTest
+  @ValueSource(longs = {6906, 6909})
+  void requestsBehindACrowdKeepTheirDeadlines(long seed) throws Exception {
+    play(seed, CROWD_LENGTH_MS, CROWD_SLACK_MS);
+  }
+
+  private void play(long seed, long lengthMs, long slackMs) throws Exception {
+    SoakPlan plan = SoakPlan.fromSeed(seed, lengthMs, PROXIES);
     try (SoakRun run = new SoakRun(plan, folder, PreloadLibrary.build(folder).orElse(null))) {
       SoakHistory history = run.run();
       List<SoakJudge.Violation> violations =
-          new SoakJudge(history, plan.drainGraceMs(), SLACK_MS).violations();
+          new SoakJudge(history, plan.drainGraceMs(), slackMs).violations();
       System.out.println(
           "soak, seed "
               + seed
