refactor: Let the wrappers of an event loop's I/O handler share one that passes calls on

Cause: ErrorContainment wrote again what ReadLagTracker had, and its test a third time. Change: DelegatingIoHandler; behaviour as before.

--- a/src/main/java/leadferry/engine/ErrorContainment.java
+++ b/src/main/java/leadferry/engine/ErrorContainment.java
@@ -1,11 +1,9 @@
 package leadferry.engine;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 import io.netty.util.concurrent.ThreadAwareExecutor;
 import java.util.function.BooleanSupplier;
 
@@ -15,19 +13,18 @@
  * lives on and serves nothing: a loop whose errors don't stop is ended, and {@link #onLoopEnded}
  * tells so that the process can end, too.
  */
-public final class ErrorContainment implements IoHandler {
+public final class ErrorContainment extends DelegatingIoHandler {
   /** Maximum number of errors of one loop within {@link #WINDOW_NANOS}. */
   private static final int MAX_ERRORS = 50;
 
   private static final long WINDOW_NANOS = 1_000_000_000L;
 
-  private final IoHandler handler;
   private final Log log;
   private long windowStartNanos = System.nanoTime();
   private int errors;
 
   private ErrorContainment(IoHandler handler, Log log) {
-    this.handler = handler;
+    super(handler);
     this.log = log;
   }
 
@@ -63,7 +60,7 @@
   @Override
   public int run(IoHandlerContext context) {
     try {
-      return handler.run(context);
+      return super.run(context);
     } catch (Error e) {
       if (isOverLimit(System.nanoTime())) {
         throw e;
@@ -80,34 +77,4 @@
     }
     return ++errors > MAX_ERRORS;
   }
-
-  @Override
-  public void initialize() {
-    handler.initialize();
-  }
-
-  @Override
-  public void prepareToDestroy() {
-    handler.prepareToDestroy();
-  }
-
-  @Override
-  public void destroy() {
-    handler.destroy();
-  }
-
-  @Override
-  public IoRegistration register(IoHandle handle) throws Exception {
-    return handler.register(handle);
-  }
-
-  @Override
-  public void wakeup() {
-    handler.wakeup();
-  }
-
-  @Override
-  public boolean isCompatible(Class<? extends IoHandle> type) {
-    return handler.isCompatible(type);
-  }
 }
--- a/src/main/java/leadferry/engine/ReadLagTracker.java
+++ b/src/main/java/leadferry/engine/ReadLagTracker.java
@@ -1,10 +1,8 @@
 package leadferry.engine;
 
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 import io.netty.util.concurrent.FastThreadLocal;
 import io.netty.util.concurrent.ThreadAwareExecutor;
 
@@ -27,7 +25,7 @@
  * poll is stopped in the middle and ends before the requested time, the stop is attributed to the
  * peers. Cost: two clock readings per iteration.
  */
-public final class ReadLagTracker implements IoHandler, IoHandlerContext {
+public final class ReadLagTracker extends DelegatingIoHandler implements IoHandlerContext {
   /**
    * A poll that returned within this time (ns), or within half of the duration of the preceding
    * work, is taken to have found data that had already arrived. Without this tolerance, a poll
@@ -43,7 +41,6 @@
 
   private static final FastThreadLocal<ReadLagTracker> CURRENT = new FastThreadLocal<>();
 
-  private final IoHandler handler;
   private IoHandlerContext context;
   private boolean mayWait;
   private long iterations;
@@ -53,7 +50,7 @@
   private long readUntilNanos = polledAtNanos;
 
   private ReadLagTracker(IoHandler handler) {
-    this.handler = handler;
+    super(handler);
   }
 
   /** Wraps a factory so that its loops track their read lag. */
@@ -92,7 +89,7 @@
   @Override
   public void initialize() {
     CURRENT.set(this);
-    handler.initialize();
+    super.initialize();
   }
 
   @Override
@@ -103,7 +100,7 @@
     mayWait = loopContext.canBlock();
     requestedEndNanos = pollStartNanos + (mayWait ? loopContext.delayNanos(pollStartNanos) : 0);
     try {
-      return handler.run(this);
+      return super.run(this);
     } finally {
       // Covers a handler that did not report the poll.
       polledAtNanos = Math.max(polledAtNanos, pollStartNanos);
@@ -150,29 +147,4 @@
   public long deadlineNanos() {
     return context.deadlineNanos();
   }
-
-  @Override
-  public void prepareToDestroy() {
-    handler.prepareToDestroy();
-  }
-
-  @Override
-  public void destroy() {
-    handler.destroy();
-  }
-
-  @Override
-  public IoRegistration register(IoHandle handle) throws Exception {
-    return handler.register(handle);
-  }
-
-  @Override
-  public void wakeup() {
-    handler.wakeup();
-  }
-
-  @Override
-  public boolean isCompatible(Class<? extends IoHandle> type) {
-    return handler.isCompatible(type);
-  }
 }
--- a/src/test/java/leadferry/engine/ErrorContainmentTest.java
+++ b/src/test/java/leadferry/engine/ErrorContainmentTest.java
@@ -3,11 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.ThreadAwareExecutor;
@@ -48,51 +46,19 @@
   }
 
   /** Handler of a loop that throws as many errors as {@code errorsLeft} tells. */
-  private final class FailingHandler implements IoHandler {
-    private final IoHandler handler;
-
+  private final class FailingHandler extends DelegatingIoHandler {
     FailingHandler(IoHandler handler) {
-      this.handler = handler;
+      super(handler);
     }
 
     @Override
     public int run(IoHandlerContext context) {
-      int processed = handler.run(context);
+      int processed = super.run(context);
       if (errorsLeft.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
         throw new OutOfMemoryError("thrown by the test");
       }
       return processed;
     }
-
-    @Override
-    public void initialize() {
-      handler.initialize();
-    }
-
-    @Override
-    public void prepareToDestroy() {
-      handler.prepareToDestroy();
-    }
-
-    @Override
-    public void destroy() {
-      handler.destroy();
-    }
-
-    @Override
-    public IoRegistration register(IoHandle handle) throws Exception {
-      return handler.register(handle);
-    }
-
-    @Override
-    public void wakeup() {
-      handler.wakeup();
-    }
-
-    @Override
-    public boolean isCompatible(Class<? extends IoHandle> type) {
-      return handler.isCompatible(type);
-    }
   }
 
   @Test
