Keep the memory of two processes as it was, and look for reused addresses only at new processes

And each change of the list was searched for reused addresses, with all hosts, also where it told a drain alone. Change: 176 MB for two JVMs and 8 MB at least for their bodies, as before; the search runs where an entry is new, moves, starts anew or had been replaced. Result: AddressReuseTest, OperationsTest, DiscoveryTest, LinterExceptionsTest: 0 failures.

--- a/src/main/java/leadferry/engine/UpstreamHosts.java
+++ b/src/main/java/leadferry/engine/UpstreamHosts.java
@@ -102,12 +102,14 @@
     Set<UpstreamHost> invalidated = new LinkedHashSet<>();
     Set<UpstreamHost> listed = new HashSet<>();
     Set<UpstreamHost> added = new HashSet<>();
+    boolean hasNewProcess = false;
     for (Member member : update.members()) {
       boolean isKnown = byName.containsKey(member.name());
       UpstreamHost host = getOrCreateHost(member.name());
       if (!isKnown) {
         added.add(host);
       }
+      hasNewProcess |= !isKnown || isNewProcess(host, member);
       listed.add(host);
       double started = convertStart(host, member.startedUnixMs(), now);
       entries.add(createEntry(host, member, started));
@@ -118,14 +120,23 @@
     if (update.full()) {
       invalidateUnlisted(listed, invalidated);
     }
-    for (UpstreamHost replaced : AddressReuse.findReplaced(byId.values(), added)) {
-      withdraw(replaced, entries);
-      invalidated.add(replaced);
+    if (hasNewProcess) {
+      for (UpstreamHost replaced : AddressReuse.findReplaced(byId.values(), added)) {
+        withdraw(replaced, entries);
+        invalidated.add(replaced);
+      }
     }
     clock.onUpToDate(now);
     return new Change(entries, invalidated);
   }
 
+  /** Whether the entry may put another process at an address, or names a host that was replaced. */
+  private static boolean isNewProcess(UpstreamHost host, Member member) {
+    return host.replacedBy != null
+        || host.startedUnixMs != member.startedUnixMs()
+        || (member.address() != null && !member.address().equals(host.address));
+  }
+
   /** Makes the host one that is gone, whatever the list says of it. */
   private static void withdraw(UpstreamHost host, List<EndpointUpdate> entries) {
     host.sendable = false;
--- a/src/main/java/leadferry/proxy/SharedLimits.java
+++ b/src/main/java/leadferry/proxy/SharedLimits.java
@@ -15,7 +15,11 @@
   /** Part of the memory limit that the JVM needs besides bodies. */
   private static final long JVM_MEGABYTES = 92;
 
+  /** Part of the memory limit that the JVMs of two processes need, which share pages. */
+  private static final long TWO_JVMS_MEGABYTES = 176;
+
   private static final long MIN_BODY_MEGABYTES = 4;
+  private static final long MIN_SHARED_BODY_MEGABYTES = 8;
   private static final long MAX_BODY_MEGABYTES = 80;
   private static final int MEGABYTE_SHIFT = 20;
 
@@ -84,15 +88,15 @@
 
   private void update(HotRestart.ProcessState others) {
     shared = others != null;
-    int processes = shared ? 2 : 1;
-    long megabytes = memoryMegabytes - processes * JVM_MEGABYTES;
-    long bodyMegabytes = Math.max(MIN_BODY_MEGABYTES, Math.min(MAX_BODY_MEGABYTES, megabytes));
+    long megabytes = memoryMegabytes - (shared ? TWO_JVMS_MEGABYTES : JVM_MEGABYTES);
+    long minMegabytes = shared ? MIN_SHARED_BODY_MEGABYTES : MIN_BODY_MEGABYTES;
+    long bodyMegabytes = Math.max(minMegabytes, Math.min(MAX_BODY_MEGABYTES, megabytes));
     long bodyBytes = bodyMegabytes << MEGABYTE_SHIFT;
     if (others == null) {
       socketBudget.useAllDescriptors();
       bodyBudget.setLimit(bodyBytes);
     } else {
-      long minBytes = (MIN_BODY_MEGABYTES << MEGABYTE_SHIFT) / 2;
+      long minBytes = (MIN_SHARED_BODY_MEGABYTES << MEGABYTE_SHIFT) / 2;
       socketBudget.shareDescriptors(others.clientConnections(), others.upstreamConnections());
       bodyBudget.setLimit(Math.max(minBytes, bodyBytes - others.bodyBytes()));
     }
