--- a/review/src-2/Kit.java
+++ b/review/src-2/Kit.java
@@ -447,6 +447,18 @@
   static Proxy start(
       String name, String discovery, String known, String settings, String limits)
       throws IOException {
+    return start(name, discovery, known, settings, limits, "");
+  }
+
+  /** Starts a client proxy; operators call it at {@code management} unless that is empty. */
+  static Proxy start(
+      String name,
+      String discovery,
+      String known,
+      String settings,
+      String limits,
+      String management)
+      throws IOException {
     int port = freePort();
     Path folder = Files.createTempDirectory("review-2-");
     Path temporary = Files.createDirectory(folder.resolve("tmp"));
@@ -456,7 +468,8 @@
         config,
         "{\"name\":\"" + name + "\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery
             + "\",\"seed\":\"" + Long.toHexString(System.nanoTime() * 31 + port) + "\",\"limits\":"
-            + limits + ",\"known\":" + known + ",\"settings\":" + settings + "}");
+            + limits + (management.isEmpty() ? "" : ",\"management\":\"" + management + "\"")
+            + ",\"known\":" + known + ",\"settings\":" + settings + "}");
     ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand());
     builder.environment().put("BALANCER_NAME", name);
     builder.environment().put("BALANCER_LISTEN", listen);
