Log a response that is cut off at a client, and how long its kernel took nothing of it

Change: OutputProgress counts what the kernel has taken of a connection's output; a close before all of it is the event 'response cut off' with reason, unsent bytes and the time since the kernel last took some.

--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -33,6 +33,7 @@
   private final PipelineQueue pipeline;
   private final DisconnectDetector disconnectDetector;
   private final RequestLog log;
+  private final OutputProgress output;
   private ConnectionState state = ConnectionState.OPEN;
   private HttpCall call;
   private boolean rejectionLogged;
@@ -47,6 +48,7 @@
     this.channel = channel;
     this.decoder = decoder;
     this.log = new RequestLog(server.log(), channel);
+    this.output = OutputProgress.install(channel);
     this.timeouts = new ConnectionTimeouts(server, decoder, acceptedAtNanos);
     this.responseWriter = new ResponseWriter(this, server, channel);
     this.disconnectDetector = new DisconnectDetector(this, server, channel);
@@ -289,6 +291,9 @@
   /** Closes the connection immediately and logs the reason. */
   void close(CloseReason reason) {
     log.logClosed(reason, call);
+    if (output.isPending()) {
+      log.logCutOff(reason, output.unsentBytes(), output.quietMillis());
+    }
     channel.close();
   }
 
@@ -365,6 +370,7 @@
 
   /** Enforces the time limits of the connection; called several times a second. */
   void enforceTimeouts(long nowNanos) {
+    output.update();
     if (call != null
         && intake.upload() != null
         && intake.upload().isStalled(nowNanos, timeouts.receiveTimeoutNanos())) {
--- a/src/main/java/leadferry/http/RequestLog.java
+++ b/src/main/java/leadferry/http/RequestLog.java
@@ -105,6 +105,25 @@
     }
   }
 
+  /**
+   * Logs that a connection is closed before all of a response was passed to the kernel.
+   *
+   * @param unsentBytes bytes of the response that the kernel has not taken
+   * @param quietMillis time since the kernel last took part of the connection's output
+   */
+  void logCutOff(CloseReason reason, long unsentBytes, long quietMillis) {
+    log.event(
+        "response cut off",
+        "reason",
+        reason,
+        "unsent",
+        unsentBytes,
+        "quiet",
+        quietMillis,
+        "client",
+        channel.remoteAddress());
+  }
+
   /** Logs an I/O error of the connection. */
   void logFailed(Throwable cause, HttpCall call) {
     if (log.isDetailEnabled()) {
--- /dev/null
+++ b/src/test/java/leadferry/daemon/SlowReaderTest.java
@@ -0,0 +1,82 @@
+package leadferry.daemon;
+
+import static leadferry.daemon.DaemonFixture.CLASSES;
+import static leadferry.daemon.DaemonFixture.LISTENER;
+import static leadferry.daemon.DaemonFixture.request;
+import static leadferry.daemon.DaemonFixture.route;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Path;
+import leadferry.proxy.PacedReader;
+import leadferry.proxy.ProxyFixture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Checks responses that are held whole, far larger than the kernel's buffers, and whose clients
+ * read slowly: most of a response then waits in the daemon after its end was passed to the channel.
+ */
+class SlowReaderTest {
+  private static final String CLAIMS = route("claims", "/", "class = \"claim\"\npool = \"a\"");
+  private static final int BODY_BYTES = 12 << 20;
+
+  /** Longer than the 5 s and the idle times that once counted from the end of the hand-over. */
+  private static final PacedReader.Pace STEADY = new PacedReader.Pace(250_000, 7_000);
+
+  @TempDir Path folder;
+  private DaemonFixture fixture;
+
+  @BeforeEach
+  void open() {
+    fixture = new DaemonFixture(folder);
+  }
+
+  @AfterEach
+  void close() {
+    fixture.close();
+  }
+
+  private void start(String transport, String listenerLines) throws Exception {
+    RawUpstream upstream =
+        fixture.startRawUpstream(
+            (host, in, out, socket) -> {
+              while (host.readHead(in) != null) {
+                RawUpstream.write(
+                    out, "HTTP/1.1 200 OK\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n");
+                out.write(new byte[BODY_BYTES]);
+              }
+            });
+    fixture.start(
+        "[daemon]\nworkers = 1\ntransport = \"" + transport + "\"",
+        LISTENER + listenerLines,
+        CLASSES,
+        RawUpstream.pool("a", "max_answer_bytes = " + BODY_BYTES, upstream),
+        CLAIMS);
+  }
+
+  private Socket client() throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(PacedReader.RECEIVE_BUFFER_BYTES);
+    socket.connect(fixture.address());
+    socket.setSoTimeout(ProxyFixture.TIMEOUT_MILLIS);
+    return socket;
+  }
+
+  /** Guards against a client that counts as stalled because its response was handed on long ago. */
+  @ParameterizedTest
+  @ValueSource(strings = {"nio", "epoll"})
+  void steadyReaderGetsItsWholeResponse(String transport) throws Exception {
+    start(transport, "");
+    try (Socket socket = client()) {
+      ProxyFixture.write(socket, request("POST", "/claim", "r"));
+      assertThat(PacedReader.readBody(socket, STEADY)).isEqualTo(BODY_BYTES);
+      ProxyFixture.write(socket, request("POST", "/claim", "again"));
+      assertThat(PacedReader.readBody(socket, new PacedReader.Pace(0, 0))).isEqualTo(BODY_BYTES);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/leadferry/proxy/SlowReaderTest.java
@@ -0,0 +1,138 @@
+package leadferry.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Checks long responses whose clients read slowly. The lengths go in steps across what the kernel's
+ * buffers hold, so that the end of some responses waits in the proxy while the kernel is full.
+ */
+class SlowReaderTest {
+  private static final int RESPONSES = 110;
+  private static final int LEAST_BYTES = 2_600_000;
+  private static final int STEP_BYTES = 24_000;
+  private static final String[] FRAMINGS = {"length", "chunked", "close"};
+
+  @TempDir Path folder;
+  private ProxyFixture fixture;
+
+  @BeforeEach
+  void start() throws Exception {
+    fixture = new ProxyFixture(folder, 1_024);
+    fixture.start(sizedHost(), sizedHost(), sizedHost());
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    fixture.close();
+  }
+
+  /** Returns a host whose responses have the framing and the length that the id tells. */
+  private ProxyFixture.UpstreamHost sizedHost() throws IOException {
+    return fixture.new UpstreamHost(request -> null) {
+      @Override
+      void serve(Socket socket) throws IOException {
+        String request;
+        while ((request = ProxyFixture.readMessage(socket.getInputStream())) != null) {
+          String[] form = ProxyFixture.headerValue(request, "X-Request-ID").split("\\.");
+          respond(socket, form[0], Integer.parseInt(form[1]));
+        }
+      }
+    };
+  }
+
+  private static void respond(Socket socket, String framing, int size) throws IOException {
+    String head =
+        switch (framing) {
+          case "length" -> "Content-Length: " + size;
+          case "chunked" -> "Transfer-Encoding: chunked";
+          default -> "Connection: close";
+        };
+    ProxyFixture.write(socket, "HTTP/1.1 200 OK\r\n" + head + "\r\n\r\n");
+    OutputStream out = socket.getOutputStream();
+    byte[] block = new byte[16_384];
+    for (int sent = 0; sent < size; sent += block.length) {
+      int count = Math.min(block.length, size - sent);
+      if (framing.equals("chunked")) {
+        ProxyFixture.write(socket, Integer.toHexString(count) + "\r\n");
+      }
+      out.write(block, 0, count);
+      if (framing.equals("chunked")) {
+        ProxyFixture.write(socket, "\r\n");
+      }
+    }
+    if (framing.equals("chunked")) {
+      ProxyFixture.write(socket, "0\r\n\r\n");
+    } else if (framing.equals("close")) {
+      socket.close();
+    }
+  }
+
+  private Socket client() throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(PacedReader.RECEIVE_BUFFER_BYTES);
+    socket.connect(new InetSocketAddress("127.0.0.1", fixture.proxy.address().getPort()));
+    socket.setSoTimeout(ProxyFixture.TIMEOUT_MILLIS);
+    return socket;
+  }
+
+  /** Reads responses of all lengths at the same time; returns those that were cut off. */
+  private List<String> readAll(PacedReader.Pace pace, String... lines) throws Exception {
+    ExecutorService clients = Executors.newCachedThreadPool();
+    try {
+      List<Future<String>> results = new ArrayList<>();
+      for (int i = 0; i < RESPONSES; i++) {
+        String framing = FRAMINGS[i % FRAMINGS.length];
+        results.add(clients.submit(read(framing, LEAST_BYTES + i * STEP_BYTES, pace, lines)));
+      }
+      List<String> cutOff = new ArrayList<>();
+      for (Future<String> result : results) {
+        if (!result.get().isEmpty()) {
+          cutOff.add(result.get());
+        }
+      }
+      return cutOff;
+    } finally {
+      clients.shutdownNow();
+    }
+  }
+
+  private Callable<String> read(String framing, int size, PacedReader.Pace pace, String... lines) {
+    return () -> {
+      try (Socket socket = client()) {
+        String id = framing + "." + size;
+        ProxyFixture.write(socket, ProxyFixture.atMostOnceRequest(id, headers(lines)));
+        long received = PacedReader.readBody(socket, pace);
+        return received == size ? "" : id + " ended after " + received;
+      }
+    };
+  }
+
+  private static String[] headers(String... lines) {
+    List<String> all = new ArrayList<>(List.of(lines));
+    all.add("Content-Length: 0");
+    all.add("X-Timeout-Ms: 3000");
+    return all.toArray(String[]::new);
+  }
+
+  /** Guards against a client that counts as stalled because its response was handed on long ago. */
+  @Test
+  void steadyReaderGetsEachResponseWhole() throws Exception {
+    assertThat(readAll(new PacedReader.Pace(100_000, 8_000))).isEmpty();
+  }
+}
