Judge a client that reads its response by what its kernel takes, not by the hand-over

Cause: a client counted as stalled 5 s after the last part of its response was passed to the channel, whatever it had received since. The rest of a response waits there while the kernel's send buffer is full, and the kernel reports the socket as writable only once a third of it is free: 14 s for a reader of 100 kB/s and a buffer of 4 MB. Change: OutputProgress.isStalled, 30 s without the kernel taking any output, the limit that streams have. Since the kernel's report comes in steps, a write is tried again after 0.5 s without progress (Transport.flushNow): the kernel takes more as soon as the peer has received some. So it follows the peer, at any rate, and who takes nothing is closed after 30 s.

--- a/src/main/java/leadferry/engine/NativeTransport.java
+++ b/src/main/java/leadferry/engine/NativeTransport.java
@@ -4,7 +4,10 @@
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollIoEvent;
+import io.netty.channel.epoll.EpollIoHandle;
 import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.channel.epoll.EpollIoOps;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.unix.FileDescriptor;
@@ -33,6 +36,14 @@
     public Class<? extends Channel> connectionType() {
       return EpollSocketChannel.class;
     }
+
+    @Override
+    public void flushNow(Channel connection) {
+      if (connection instanceof EpollSocketChannel socket && socket.isOpen()) {
+        EpollIoEvent writable = () -> EpollIoOps.EPOLLOUT;
+        ((EpollIoHandle) socket.unsafe()).handle(null, writable);
+      }
+    }
   },
   /**
    * A read is always outstanding on each socket. {@link #isQuiet} therefore detects that a
--- a/src/main/java/leadferry/engine/NioTransport.java
+++ b/src/main/java/leadferry/engine/NioTransport.java
@@ -128,6 +128,13 @@
     return client instanceof Connection connection ? connection.unreadBytes() : UNKNOWN_BYTES;
   }
 
+  @Override
+  public void flushNow(Channel connection) {
+    if (connection instanceof Connection socket) {
+      socket.unsafe().forceFlush();
+    }
+  }
+
   @Override
   public ClientEnd checkClientEnd(Channel client) {
     return client instanceof Connection connection ? connection.checkEnd() : ClientEnd.NONE;
--- a/src/main/java/leadferry/engine/Transport.java
+++ b/src/main/java/leadferry/engine/Transport.java
@@ -54,6 +54,14 @@
     return UNKNOWN_BYTES;
   }
 
+  /**
+   * Writes pending output of a connection now, as far as the kernel takes it. A kernel with a full
+   * send buffer takes more as soon as the peer has received some, but reports the socket as
+   * writable only once a third of the buffer is free, which takes a slow reader many seconds. Must
+   * be called on the channel's loop; has no effect where the transport can't do it.
+   */
+  default void flushNow(Channel connection) {}
+
   /** Result of a check of a client's socket. */
   enum ClientEnd {
     /** Nothing has arrived, or the socket can't tell. */
--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -48,9 +48,9 @@
     this.channel = channel;
     this.decoder = decoder;
     this.log = new RequestLog(server.log(), channel);
-    this.output = OutputProgress.install(channel);
+    this.output = OutputProgress.install(channel, server.transport());
     this.timeouts = new ConnectionTimeouts(server, decoder, acceptedAtNanos);
-    this.responseWriter = new ResponseWriter(this, server, channel);
+    this.responseWriter = new ResponseWriter(this, server, channel, output);
     this.disconnectDetector = new DisconnectDetector(this, server, channel);
     this.intake = new RequestIntake(this, server, channel, decoder, responseWriter);
     this.discarded = intake.discardedInput();
--- a/src/main/java/leadferry/http/OutputProgress.java
+++ b/src/main/java/leadferry/http/OutputProgress.java
@@ -7,27 +7,44 @@
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import java.util.concurrent.TimeUnit;
+import leadferry.engine.Transport;
 
 /**
- * Progress of a connection's output: how much of it the kernel has not taken yet, and when the
- * kernel last took some. Once the kernel's send buffer is full, it takes more only after the peer
- * has received some of what it holds.
+ * Progress of a connection's output, and whether its peer has stopped receiving it.
+ *
+ * <p>The time since output was passed to the channel or to the kernel says nothing about the peer:
+ * buffers hold megabytes, which a slow reader takes minutes to receive. But once the kernel's send
+ * buffer is full, it takes more output only after the peer has received some of what it holds. So
+ * the peer has stalled when the kernel has taken nothing for {@link #STALLED_NANOS}. Since the
+ * kernel reports a socket as writable only in large steps, a write is tried again in between.
  *
  * <p>Used only on the connection's event loop.
  */
 final class OutputProgress extends ChannelOutboundHandlerAdapter {
+  /**
+   * Time (ns) without progress after which the peer of a connection counts as gone. A steady reader
+   * has shorter pauses: its kernel opens the receive window in steps of a sixteenth of its receive
+   * buffer.
+   */
+  private static final long STALLED_NANOS = 30_000_000_000L;
+
+  /** Time (ns) without progress after which a write is tried before the socket is writable. */
+  private static final long TRY_WRITE_NANOS = 500_000_000L;
+
   private final Channel channel;
+  private final Transport transport;
   private long submittedBytes;
   private long takenBytes;
   private long progressAtNanos = System.nanoTime();
 
-  private OutputProgress(Channel channel) {
+  private OutputProgress(Channel channel, Transport transport) {
     this.channel = channel;
+    this.transport = transport;
   }
 
   /** Starts to track a connection, whose encoder must stand behind this handler's place. */
-  static OutputProgress install(Channel channel) {
-    OutputProgress progress = new OutputProgress(channel);
+  static OutputProgress install(Channel channel, Transport transport) {
+    OutputProgress progress = new OutputProgress(channel, transport);
     channel.pipeline().addFirst(progress);
     return progress;
   }
@@ -68,8 +85,16 @@
     return unsentBytes[0];
   }
 
-  /** Records whether the kernel has taken part of the output since the last call. */
+  /** Records the progress since the last call; must be called several times a second. */
   void update() {
+    recordProgress();
+    if (isPending() && System.nanoTime() - progressAtNanos > TRY_WRITE_NANOS) {
+      transport.flushNow(channel);
+      recordProgress();
+    }
+  }
+
+  private void recordProgress() {
     long nowTakenBytes = submittedBytes - unsentBytes();
     if (nowTakenBytes > takenBytes) {
       takenBytes = nowTakenBytes;
@@ -77,6 +102,11 @@
     }
   }
 
+  /** Whether output is pending of which the peer has received nothing for too long. */
+  boolean isStalled(long nowNanos) {
+    return isPending() && nowNanos - progressAtNanos > STALLED_NANOS;
+  }
+
   /** Returns the time (ms) since the kernel was last seen to take part of the output. */
   long quietMillis() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - progressAtNanos);
--- a/src/main/java/leadferry/http/ResponseWriter.java
+++ b/src/main/java/leadferry/http/ResponseWriter.java
@@ -23,11 +23,6 @@
  * <p>Used only on the connection's event loop.
  */
 final class ResponseWriter {
-  /**
-   * Time (ns) without progress after which a client that does not read its response counts as gone.
-   */
-  private static final long CLIENT_STALLED_NANOS = 5_000_000_000L;
-
   /** Time (ns) without progress after which a streamed response is aborted. */
   private static final long STREAM_STALLED_NANOS = 30_000_000_000L;
 
@@ -36,13 +31,16 @@
   private final ClientConnection client;
   private final HttpServer server;
   private final SocketChannel channel;
-  private long writingSinceNanos;
+  private final OutputProgress output;
+  private boolean writing;
   private long lastProgressNanos;
 
-  ResponseWriter(ClientConnection client, HttpServer server, SocketChannel channel) {
+  ResponseWriter(
+      ClientConnection client, HttpServer server, SocketChannel channel, OutputProgress output) {
     this.client = client;
     this.server = server;
     this.channel = channel;
+    this.output = output;
   }
 
   /** Sends a local response, which the load balancer generates. */
@@ -125,8 +123,8 @@
   private void trackWrite(ChannelFuture writeFuture) {
     lastProgressNanos = 0;
     if (client.onResponseSubmitted(writeFuture) && !writeFuture.isDone()) {
-      writingSinceNanos = System.nanoTime();
-      writeFuture.addListener(f -> writingSinceNanos = 0);
+      writing = true;
+      writeFuture.addListener(f -> writing = false);
     }
   }
 
@@ -189,12 +187,12 @@
 
   /** Whether a complete response is not fully written yet. */
   boolean isWriting() {
-    return writingSinceNanos != 0;
+    return writing;
   }
 
   /** Whether the client has stopped reading a complete response. */
   boolean isStalled(long nowNanos) {
-    return nowNanos - writingSinceNanos > CLIENT_STALLED_NANOS;
+    return output.isStalled(nowNanos);
   }
 
   /** Whether the upstream host or the client has stalled during a streamed response. */
