Treat a connection as in use until its last response is written, too

Cause: only a response behind which the connection stays open was tracked as being written. A last response was not, whatever made it the last one (a drain, a crowd, the client's own 'Connection: close'). Its connection looked idle, and every limit on idle connections applied: departure (0.5 s), idle time (6 s, the daemon's idle_ms), eviction. Change: a response is being written for as long as the channel has output that the kernel has not taken (OutputProgress.isPending), whatever follows it; the one limit is then OutputProgress.isStalled.

--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -205,27 +205,21 @@
     return state.isClosing();
   }
 
-  /**
-   * Handles a response whose end was passed to the channel. Returns true if the connection stays
-   * open and no further input of the request is expected.
-   */
-  boolean onResponseSubmitted(ChannelFuture writeFuture) {
+  /** Handles a response whose end was passed to the channel. */
+  void onResponseSubmitted(ChannelFuture writeFuture) {
     endCall();
     intake.onResponseSubmitted();
     timeouts.markUsed();
     if (discarded.isSkipping()) {
       channel.config().setAutoRead(true);
-      return false;
-    }
-    if (state.isClosing()) {
+    } else if (state.isClosing()) {
       markFinished();
       pipeline.clear();
       channel.config().setAutoRead(true);
       writeFuture.addListener(f -> linger());
-      return false;
+    } else {
+      pipeline.scheduleDrain();
     }
-    pipeline.scheduleDrain();
-    return true;
   }
 
   /** Handles the end of a request whose remaining input was skipped after its response. */
--- a/src/main/java/leadferry/http/ResponseWriter.java
+++ b/src/main/java/leadferry/http/ResponseWriter.java
@@ -32,7 +32,6 @@
   private final HttpServer server;
   private final SocketChannel channel;
   private final OutputProgress output;
-  private boolean writing;
   private long lastProgressNanos;
 
   ResponseWriter(
@@ -122,10 +121,7 @@
 
   private void trackWrite(ChannelFuture writeFuture) {
     lastProgressNanos = 0;
-    if (client.onResponseSubmitted(writeFuture) && !writeFuture.isDone()) {
-      writing = true;
-      writeFuture.addListener(f -> writing = false);
-    }
+    client.onResponseSubmitted(writeFuture);
   }
 
   // --- streamed response
@@ -185,9 +181,9 @@
 
   // --- time limits
 
-  /** Whether a complete response is not fully written yet. */
+  /** Whether part of a response, also of the last one of the connection, is not written yet. */
   boolean isWriting() {
-    return writing;
+    return output.isPending();
   }
 
   /** Whether the client has stopped reading a complete response. */
--- a/src/test/java/leadferry/daemon/SlowReaderTest.java
+++ b/src/test/java/leadferry/daemon/SlowReaderTest.java
@@ -28,6 +28,8 @@
   /** Longer than the 5 s and the idle times that once counted from the end of the hand-over. */
   private static final PacedReader.Pace STEADY = new PacedReader.Pace(250_000, 7_000);
 
+  private static final PacedReader.Pace SHORT_STEADY = new PacedReader.Pace(250_000, 2_000);
+
   @TempDir Path folder;
   private DaemonFixture fixture;
 
@@ -79,4 +81,16 @@
       assertThat(PacedReader.readBody(socket, new PacedReader.Pace(0, 0))).isEqualTo(BODY_BYTES);
     }
   }
+
+  /** Guards against a last response that counts as written, so that its connection looks idle. */
+  @ParameterizedTest
+  @ValueSource(strings = {"nio", "epoll"})
+  void steadyReaderGetsItsWholeLastResponse(String transport) throws Exception {
+    start(transport, "idle_ms = 500");
+    try (Socket socket = client()) {
+      ProxyFixture.write(socket, request("POST", "/claim", "r", "Connection: close"));
+      assertThat(PacedReader.readBody(socket, SHORT_STEADY)).isEqualTo(BODY_BYTES);
+      assertThat(ProxyFixture.isClosedByPeer(socket)).isTrue();
+    }
+  }
 }
--- a/src/test/java/leadferry/proxy/SlowReaderTest.java
+++ b/src/test/java/leadferry/proxy/SlowReaderTest.java
@@ -23,9 +23,9 @@
  * buffers hold, so that the end of some responses waits in the proxy while the kernel is full.
  */
 class SlowReaderTest {
-  private static final int RESPONSES = 110;
+  private static final int RESPONSES = 150;
   private static final int LEAST_BYTES = 2_600_000;
-  private static final int STEP_BYTES = 24_000;
+  private static final int STEP_BYTES = 16_000;
   private static final String[] FRAMINGS = {"length", "chunked", "close"};
 
   @TempDir Path folder;
@@ -135,4 +135,20 @@
   void steadyReaderGetsEachResponseWhole() throws Exception {
     assertThat(readAll(new PacedReader.Pace(100_000, 8_000))).isEmpty();
   }
+
+  /**
+   * Guards against a last response that counts as written, so that its connection looks idle and is
+   * closed in a drain.
+   */
+  @Test
+  void readerThatPausesGetsEachLastResponseWholeAfterADrain() throws Exception {
+    fixture.operatorState.drain();
+    assertThat(readAll(new PacedReader.Pace(0, 2_500))).isEmpty();
+  }
+
+  /** Guards against the same where the client itself asks for the close, and nothing drains. */
+  @Test
+  void readerThatPausesGetsEachLastResponseWhole() throws Exception {
+    assertThat(readAll(new PacedReader.Pace(0, 8_000), "Connection: close")).isEmpty();
+  }
 }
