Write a last response to its end before its connection is half-closed behind a request

Callers saw: a 200 with Content-Length and 'Connection: close', given before the request had come whole, that ended up to 36 kB before its end as soon as the client had sent the rest. Cause: the end of a skipped request body half-closed the connection at once; what the channel had not written yet was dropped with the output. Change: the half-close waits behind the output.

--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -1,5 +1,6 @@
 package leadferry.http;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -226,7 +227,8 @@
   void onRemainderSkipped() {
     if (state.isClosing()) {
       markFinished();
-      linger();
+      // Guards against a response that is dropped with the output: its end may not be written yet.
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> linger());
     }
   }
 
