Don't take a client that reads its response for one that is slow at sending the rest

Callers saw: a response that began before its request had come whole was cut off 2.4 s after the client had last sent something, although it was reading steadily. Cause: both limits on a request's remainder (upload stalled, remainder too slow) count from the client's last input alone, whatever it has received since. Change: the limits hold once the client has nothing left to receive. A client that receives nothing is ended by the limit on stalled output.

--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -156,6 +156,9 @@
    * true for the first one.
    */
   boolean markRequestSeen() {
+    if (server.settings().maxPipelinedRequests() <= 1) {
+      output.markReceived(); // the client sends one request at a time
+    }
     return timeouts.markRequestSeen();
   }
 
@@ -369,6 +372,7 @@
     output.update();
     if (call != null
         && intake.upload() != null
+        && !output.mayBeUnread(nowNanos) // a client may read its response before it sends the rest
         && intake.upload().isStalled(nowNanos, timeouts.receiveTimeoutNanos())) {
       call.exchange().abandon(); // the request body has stalled
     } else if (responseWriter.isStreamStalled(nowNanos)) {
@@ -380,7 +384,8 @@
 
   private void enforceTimeoutsWithoutCall(long nowNanos) {
     if (discarded.isSkipping()) {
-      closeWhenDue(timeouts.isRemainderTooSlow(nowNanos), CloseReason.SLOW);
+      boolean isReading = output.mayBeUnread(nowNanos) && !output.isStalled(nowNanos);
+      closeWhenDue(!isReading && timeouts.isRemainderTooSlow(nowNanos), CloseReason.SLOW);
     } else if (responseWriter.isWriting()) {
       closeWhenDue(responseWriter.isStalled(nowNanos), CloseReason.STALLED);
     } else if (decoder.isReceiving()) {
--- a/src/main/java/leadferry/http/OutputProgress.java
+++ b/src/main/java/leadferry/http/OutputProgress.java
@@ -18,6 +18,9 @@
  * the peer has stalled when the kernel has taken nothing for {@link #STALLED_NANOS}. Since the
  * kernel reports a socket as writable only in large steps, a write is tried again in between.
  *
+ * <p>What the kernel has taken can't be followed any further. After a long output the peer is
+ * assumed to be receiving for as long as it may pause, see {@link #mayBeUnread}.
+ *
  * <p>Used only on the connection's event loop.
  */
 final class OutputProgress extends ChannelOutboundHandlerAdapter {
@@ -31,11 +34,19 @@
   /** Time (ns) without progress after which a write is tried before the socket is writable. */
   private static final long TRY_WRITE_NANOS = 500_000_000L;
 
+  /**
+   * Output (bytes) that a peer is taken to receive at once: less than an empty receive buffer holds
+   * by default.
+   */
+  private static final int SHORT_OUTPUT_BYTES = 64 * 1024;
+
   private final Channel channel;
   private final Transport transport;
   private long submittedBytes;
   private long takenBytes;
+  private long receivedBytes;
   private long progressAtNanos = System.nanoTime();
+  private long pendingAtNanos = progressAtNanos;
 
   private OutputProgress(Channel channel, Transport transport) {
     this.channel = channel;
@@ -56,6 +67,7 @@
         progressAtNanos = System.nanoTime();
       }
       submittedBytes += bytes.readableBytes();
+      pendingAtNanos = System.nanoTime();
     }
     ctx.write(message, promise);
   }
@@ -95,6 +107,9 @@
   }
 
   private void recordProgress() {
+    if (isPending()) {
+      pendingAtNanos = System.nanoTime();
+    }
     long nowTakenBytes = submittedBytes - unsentBytes();
     if (nowTakenBytes > takenBytes) {
       takenBytes = nowTakenBytes;
@@ -107,6 +122,20 @@
     return isPending() && nowNanos - progressAtNanos > STALLED_NANOS;
   }
 
+  /**
+   * Whether the peer may still have output to receive, as far as that can be known: output is
+   * pending, or was pending within {@link #STALLED_NANOS} and is long.
+   */
+  boolean mayBeUnread(long nowNanos) {
+    boolean isLong = submittedBytes - receivedBytes > SHORT_OUTPUT_BYTES;
+    return isPending() || (isLong && nowNanos - pendingAtNanos < STALLED_NANOS);
+  }
+
+  /** Records that the peer has received all output: it has reacted to its end. */
+  void markReceived() {
+    receivedBytes = submittedBytes;
+  }
+
   /** Returns the time (ms) since the kernel was last seen to take part of the output. */
   long quietMillis() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - progressAtNanos);
--- a/src/test/java/leadferry/proxy/EarlyResponseTest.java
+++ b/src/test/java/leadferry/proxy/EarlyResponseTest.java
@@ -131,6 +131,12 @@
     }
   }
 
+  /** Guards against a client that counts as slow at sending while it reads its response. */
+  @Test
+  void clientThatReadsBeforeItSendsTheRestGetsItsWholeResponse() throws Exception {
+    assertThat(exchangeAll(new PacedReader.Pace(100_000, 5_000), 5_000)).isEmpty();
+  }
+
   /** Guards against a close at the end of the request that drops the unwritten response. */
   @Test
   void endOfTheRequestDoesNotCutOffTheLastResponse() throws Exception {
