Judge the host of an upload by what its kernel takes, too

Callers saw: a 504 for a long upload, 2.4 s after its host's buffers were full, although the host read steadily and the request's time (20 s) was not over. Cause: a host counted as one that takes nothing once its channel had not been writable for 2.4 s. The kernel reports that only once a third of the send buffer is free, 2.8 s at 500 kB/s. Change: RequestBodyUpload.pausedNanos counts from the last time at which the host's kernel took part of the body (OutputProgress); writes are tried in between.

--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -49,7 +49,7 @@
     this.channel = channel;
     this.decoder = decoder;
     this.log = new RequestLog(server.log(), channel);
-    this.output = OutputProgress.install(channel, server.transport());
+    this.output = OutputProgress.of(channel, server.transport());
     this.timeouts = new ConnectionTimeouts(server, decoder, acceptedAtNanos);
     this.responseWriter = new ResponseWriter(this, server, channel, output);
     this.disconnectDetector = new DisconnectDetector(this, server, channel);
--- a/src/main/java/leadferry/http/HttpAttempt.java
+++ b/src/main/java/leadferry/http/HttpAttempt.java
@@ -12,6 +12,7 @@
 import leadferry.engine.Attempt;
 import leadferry.engine.Body;
 import leadferry.engine.Exchange;
+import leadferry.engine.Transport;
 import leadferry.engine.UpstreamHost;
 import leadferry.loadbalancer.AttemptOutcome;
 import leadferry.loadbalancer.LoadReport;
@@ -82,6 +83,11 @@
     }
   }
 
+  /** Returns the progress of what is sent to the upstream host; the attempt has a connection. */
+  OutputProgress upstreamOutput(Transport transport) {
+    return OutputProgress.of(connection().channel(), transport);
+  }
+
   /** Whether the upstream socket is writable. */
   boolean isUpstreamWritable() {
     return connection() != null && connection().channel().isWritable();
--- a/src/main/java/leadferry/http/OutputProgress.java
+++ b/src/main/java/leadferry/http/OutputProgress.java
@@ -53,10 +53,13 @@
     this.transport = transport;
   }
 
-  /** Starts to track a connection, whose encoder must stand behind this handler's place. */
-  static OutputProgress install(Channel channel, Transport transport) {
-    OutputProgress progress = new OutputProgress(channel, transport);
-    channel.pipeline().addFirst(progress);
+  /** Returns the progress of a connection, which is tracked from the first call on. */
+  static OutputProgress of(Channel channel, Transport transport) {
+    OutputProgress progress = channel.pipeline().get(OutputProgress.class);
+    if (progress == null) {
+      progress = new OutputProgress(channel, transport);
+      channel.pipeline().addFirst(progress); // behind the encoder, so that it sees bytes
+    }
     return progress;
   }
 
@@ -117,6 +120,11 @@
     }
   }
 
+  /** Returns the {@link System#nanoTime} at which the kernel was last seen to take output. */
+  long progressAtNanos() {
+    return progressAtNanos;
+  }
+
   /** Whether output is pending of which the peer has received nothing for too long. */
   boolean isStalled(long nowNanos) {
     return isPending() && nowNanos - progressAtNanos > STALLED_NANOS;
--- a/src/main/java/leadferry/http/RequestBodyUpload.java
+++ b/src/main/java/leadferry/http/RequestBodyUpload.java
@@ -6,6 +6,7 @@
 import leadferry.engine.Body;
 import leadferry.engine.BodyBudget;
 import leadferry.engine.Dispatcher;
+import leadferry.engine.Transport;
 
 /**
  * Request body that is streamed to an upstream host while it arrives from the client.
@@ -34,9 +35,11 @@
 
   private final RequestIntake client;
   private final BodyBudget budget;
+  private final Transport transport;
   private final Body replayBuffer;
   private final ChunkAggregator outgoing;
   private HttpAttempt currentAttempt;
+  private OutputProgress upstreamOutput;
   private HttpHeaders trailers;
   private boolean replayable = true;
   private long receivedBytes;
@@ -52,10 +55,11 @@
       RequestIntake client,
       Dispatcher pool,
       Body receivedBody,
-      BodyBudget budget,
+      HttpServer server,
       ByteBufAllocator allocator) {
     this.client = client;
-    this.budget = budget;
+    this.budget = server.budget();
+    this.transport = server.transport();
     this.replayBuffer = receivedBody == null ? pool.newBody(-1, true) : receivedBody;
     this.receivedBytes = replayBuffer.size();
     this.outgoing = new ChunkAggregator(allocator);
@@ -118,6 +122,7 @@
   /** Starts to send the body, from its first byte, through an attempt that has written its head. */
   void attach(HttpAttempt attempt) {
     currentAttempt = attempt;
+    upstreamOutput = attempt.upstreamOutput(transport);
     for (ByteBuf block : replayBuffer.retainedBlocks()) {
       attempt.writeUploadContent(block);
     }
@@ -134,6 +139,7 @@
   void detach(HttpAttempt attempt) {
     if (currentAttempt == attempt) {
       currentAttempt = null;
+      upstreamOutput = null;
       outgoing.clear();
       updateFlowControl();
     }
@@ -152,9 +158,26 @@
     client.setReading(hasCapacity);
   }
 
-  /** Returns the time (ns) for which the input could be neither sent nor kept. */
+  /** Records whether the upstream host has received more of the body since the last call. */
+  void updateProgress() {
+    if (upstreamOutput != null) {
+      upstreamOutput.update();
+    }
+  }
+
+  /**
+   * Returns the time (ns) for which the input could be neither sent nor kept, and the upstream host
+   * has received nothing.
+   */
   long pausedNanos(long nowNanos) {
-    return readingPaused ? nowNanos - pausedSinceNanos : 0;
+    if (!readingPaused) {
+      return 0;
+    }
+    long sinceNanos =
+        upstreamOutput == null
+            ? pausedSinceNanos
+            : Math.max(pausedSinceNanos, upstreamOutput.progressAtNanos());
+    return nowNanos - sinceNanos;
   }
 
   /**
--- a/src/main/java/leadferry/http/RequestIntake.java
+++ b/src/main/java/leadferry/http/RequestIntake.java
@@ -199,7 +199,7 @@
     RequestArrival arrival = result.arrival();
     boolean isLarge = result.streaming() == Streaming.LARGE;
     double announcedMillis = isLarge ? arrival.budgetMillis() : 0;
-    upload = new RequestBodyUpload(this, pool, buffer.takeBody(), server.budget(), channel.alloc());
+    upload = new RequestBodyUpload(this, pool, buffer.takeBody(), server, channel.alloc());
     HttpCall call =
         new HttpCall(
             responseWriter,
--- a/src/main/java/leadferry/http/UnreadBodyDeadline.java
+++ b/src/main/java/leadferry/http/UnreadBodyDeadline.java
@@ -33,6 +33,7 @@
   }
 
   private void expireIfDue(RequestBodyUpload upload, double budgetMillis) {
+    upload.updateProgress();
     long nowNanos = System.nanoTime();
     double unreadMillis = unreadInput.unreadNanos(nowNanos) / NANOS_PER_MILLI;
     double pausedMillis = upload.pausedNanos(nowNanos) / NANOS_PER_MILLI;
