Close every client that receives nothing within 30 s, whatever its connection waits for

Callers saw: descriptors and up to 64 KiB of output each that were never freed. A client that reads nothing of a long response and sends a bad request behind it held them for as long as it stayed: the limits skipped a connection whose input is discarded, and the close waited for the write. Change: one rule ahead of all others: a client of whose output the kernel has taken nothing for 30 s is ended (OutputProgress.isStalled), in any state. A stream's limit on its host counts only while nothing is pending, so a host that trickles no longer keeps a client that reads nothing. Not shown: a host that trickles (by reading).

--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -133,7 +133,6 @@
       return;
     }
     if (call != null) {
-      responseWriter.onWritable();
       call.onClientWritable();
     } else {
       pipeline.scheduleDrain();
@@ -335,7 +334,7 @@
     return call != null
         || !pipeline.isEmpty()
         || decoder.isReceiving()
-        || responseWriter.isWriting()
+        || output.isPending()
         || state.isClosing();
   }
 
@@ -359,7 +358,7 @@
 
   /** Returns the eviction class of the connection. */
   EvictionOrder evictionOrder(long nowNanos) {
-    if (call != null || responseWriter.isWriting() || !channel.isOpen()) {
+    if (call != null || output.isPending() || !channel.isOpen()) {
       return EvictionOrder.NEVER; // in use, or closed and not yet removed
     }
     return state == ConnectionState.DISCARDING
@@ -370,7 +369,9 @@
   /** Enforces the time limits of the connection; called several times a second. */
   void enforceTimeouts(long nowNanos) {
     output.update();
-    if (call != null
+    if (output.isStalled(nowNanos)) {
+      endStalled();
+    } else if (call != null
         && intake.upload() != null
         && !output.mayBeUnread(nowNanos) // a client may read its response before it sends the rest
         && intake.upload().isStalled(nowNanos, timeouts.receiveTimeoutNanos())) {
@@ -382,12 +383,21 @@
     }
   }
 
+  /** Ends the connection of a client that receives nothing, whatever the connection waits for. */
+  private void endStalled() {
+    if (call != null) {
+      responseWriter.abortStream();
+    } else {
+      closeWhenDue(true, CloseReason.STALLED);
+    }
+  }
+
   private void enforceTimeoutsWithoutCall(long nowNanos) {
     if (discarded.isSkipping()) {
-      boolean isReading = output.mayBeUnread(nowNanos) && !output.isStalled(nowNanos);
+      boolean isReading = output.mayBeUnread(nowNanos);
       closeWhenDue(!isReading && timeouts.isRemainderTooSlow(nowNanos), CloseReason.SLOW);
-    } else if (responseWriter.isWriting()) {
-      closeWhenDue(responseWriter.isStalled(nowNanos), CloseReason.STALLED);
+    } else if (output.isPending()) {
+      return; // in use, for as long as the client receives it
     } else if (decoder.isReceiving()) {
       if (timeouts.isRequestTooSlow(nowNanos, intake.heldBodyBytes())) {
         reject(intake.isPaused() ? 503 : 408);
--- a/src/main/java/leadferry/http/OutputProgress.java
+++ b/src/main/java/leadferry/http/OutputProgress.java
@@ -125,6 +125,11 @@
     return progressAtNanos;
   }
 
+  /** Returns the {@link System#nanoTime} at which output was last submitted or seen pending. */
+  long pendingAtNanos() {
+    return pendingAtNanos;
+  }
+
   /** Whether output is pending of which the peer has received nothing for too long. */
   boolean isStalled(long nowNanos) {
     return isPending() && nowNanos - progressAtNanos > STALLED_NANOS;
--- a/src/main/java/leadferry/http/ResponseWriter.java
+++ b/src/main/java/leadferry/http/ResponseWriter.java
@@ -18,12 +18,12 @@
 import leadferry.engine.Body;
 
 /**
- * Writes the responses of a client connection and tracks their progress.
+ * Writes the responses of a client connection.
  *
  * <p>Used only on the connection's event loop.
  */
 final class ResponseWriter {
-  /** Time (ns) without progress after which a streamed response is aborted. */
+  /** Time (ns) without content after which a streamed response is aborted. */
   private static final long STREAM_STALLED_NANOS = 30_000_000_000L;
 
   private static final double MILLIS_PER_SECOND = 1_000;
@@ -32,7 +32,7 @@
   private final HttpServer server;
   private final SocketChannel channel;
   private final OutputProgress output;
-  private long lastProgressNanos;
+  private long lastContentNanos;
 
   ResponseWriter(
       ClientConnection client, HttpServer server, SocketChannel channel, OutputProgress output) {
@@ -120,7 +120,7 @@
   }
 
   private void trackWrite(ChannelFuture writeFuture) {
-    lastProgressNanos = 0;
+    lastContentNanos = 0;
     client.onResponseSubmitted(writeFuture);
   }
 
@@ -142,7 +142,7 @@
     HttpResponse message =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), headers);
     setConnectionHeader(message);
-    lastProgressNanos = System.nanoTime();
+    lastContentNanos = System.nanoTime();
     channel.writeAndFlush(message);
   }
 
@@ -151,7 +151,7 @@
    * HttpCall#onClientWritable}.
    */
   boolean writeStreamContent(ByteBuf bytes) {
-    lastProgressNanos = System.nanoTime();
+    lastContentNanos = System.nanoTime();
     channel.writeAndFlush(new DefaultHttpContent(bytes));
     return channel.isWritable();
   }
@@ -174,25 +174,12 @@
     }
   }
 
-  /** Records progress when the client's socket is writable again. */
-  void onWritable() {
-    lastProgressNanos = lastProgressNanos == 0 ? 0 : System.nanoTime();
-  }
-
   // --- time limits
 
-  /** Whether part of a response, also of the last one of the connection, is not written yet. */
-  boolean isWriting() {
-    return output.isPending();
-  }
-
-  /** Whether the client has stopped reading a complete response. */
-  boolean isStalled(long nowNanos) {
-    return output.isStalled(nowNanos);
-  }
-
-  /** Whether the upstream host or the client has stalled during a streamed response. */
+  /** Whether the upstream host has stalled during a streamed response that its client received. */
   boolean isStreamStalled(long nowNanos) {
-    return lastProgressNanos != 0 && nowNanos - lastProgressNanos > STREAM_STALLED_NANOS;
+    return lastContentNanos != 0
+        && !output.isPending()
+        && nowNanos - Math.max(lastContentNanos, output.pendingAtNanos()) > STREAM_STALLED_NANOS;
   }
 }
--- a/src/test/java/leadferry/proxy/SlowReaderTest.java
+++ b/src/test/java/leadferry/proxy/SlowReaderTest.java
@@ -28,6 +28,11 @@
   private static final int STEP_BYTES = 16_000;
   private static final String[] FRAMINGS = {"length", "chunked", "close"};
 
+  private static final int STALLED_MILLIS = 30_000;
+
+  /** Allowance (ms) for periodic checks and a loaded machine. */
+  private static final int LATE_MILLIS = 8_000;
+
   @TempDir Path folder;
   private ProxyFixture fixture;
 
@@ -151,4 +156,35 @@
   void readerThatPausesGetsEachLastResponseWhole() throws Exception {
     assertThat(readAll(new PacedReader.Pace(0, 8_000), "Connection: close")).isEmpty();
   }
+
+  /**
+   * Guards against a connection that is kept for ever: its client reads nothing, and a bad request
+   * behind the first one has ended its use.
+   */
+  @Test
+  void clientsThatReceiveNothingAreClosedInTime() throws Exception {
+    List<Socket> clients = new ArrayList<>();
+    try {
+      for (int i = 0; i < RESPONSES; i++) {
+        Socket socket = client();
+        clients.add(socket);
+        String id = FRAMINGS[i % FRAMINGS.length] + "." + (LEAST_BYTES + i * STEP_BYTES);
+        ProxyFixture.write(socket, ProxyFixture.atMostOnceRequest(id, headers()));
+        assertThat(socket.getInputStream().read()).isEqualTo('H');
+      }
+      Thread.sleep(1_000); // the kernel's buffers fill
+      for (Socket socket : clients) {
+        ProxyFixture.write(socket, "bad\r\n\r\n");
+      }
+      long untilNanos = System.nanoTime() + (STALLED_MILLIS + LATE_MILLIS) * 1_000_000L;
+      while (fixture.clientConnections() > 0 && System.nanoTime() < untilNanos) {
+        Thread.sleep(100);
+      }
+      assertThat(fixture.clientConnections()).isZero();
+    } finally {
+      for (Socket socket : clients) {
+        socket.close();
+      }
+    }
+  }
 }
