Count a connection's idle time from the end of its output, not from its hand-over

Callers saw: a keep-alive connection that was closed as soon as the end of a long response had been written, so that the next request on it failed. Cause: idle time, eviction and departure counted from the moment at which a response was passed to the channel; a slow reader had used them up before it had the response. Change: they count from the last moment at which output was pending (ConnectionTimeouts.unusedSinceNanos). Measured: SlowReaderTest.idleTimeCountsFromTheEndOfAResponse (daemon, nio and epoll, idle_ms = 1500): the second request met the end of the stream before, is served now.

--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -50,7 +50,7 @@
     this.decoder = decoder;
     this.log = new RequestLog(server.log(), channel);
     this.output = OutputProgress.of(channel, server.transport());
-    this.timeouts = new ConnectionTimeouts(server, decoder, acceptedAtNanos);
+    this.timeouts = new ConnectionTimeouts(server, decoder, output, acceptedAtNanos);
     this.responseWriter = new ResponseWriter(this, server, channel, output);
     this.disconnectDetector = new DisconnectDetector(this, server, channel);
     this.intake = new RequestIntake(this, server, channel, decoder, responseWriter);
--- a/src/main/java/leadferry/http/ConnectionTimeouts.java
+++ b/src/main/java/leadferry/http/ConnectionTimeouts.java
@@ -27,6 +27,7 @@
 
   private final HttpServer server;
   private final RequestDecoder decoder;
+  private final OutputProgress output;
   private final long openedAtNanos = System.nanoTime();
   private final long acceptedAtNanos;
   private final long receiveTimeoutNanos;
@@ -39,9 +40,11 @@
    * @param acceptedAtNanos earliest time at which the connection can have been accepted; the client
    *     may have sent data since then
    */
-  ConnectionTimeouts(HttpServer server, RequestDecoder decoder, long acceptedAtNanos) {
+  ConnectionTimeouts(
+      HttpServer server, RequestDecoder decoder, OutputProgress output, long acceptedAtNanos) {
     this.server = server;
     this.decoder = decoder;
+    this.output = output;
     this.acceptedAtNanos = acceptedAtNanos;
     this.receiveTimeoutNanos = server.settings().receiveTimeoutMillis() * NANOS_PER_MILLI;
   }
@@ -107,14 +110,14 @@
           ? EvictionOrder.SILENT
           : EvictionOrder.NEVER;
     }
-    return nowNanos - idleSinceNanos > server.settings().minIdleMillis() * NANOS_PER_MILLI
+    return nowNanos - unusedSinceNanos() > server.settings().minIdleMillis() * NANOS_PER_MILLI
         ? EvictionOrder.IDLE
         : EvictionOrder.NEVER;
   }
 
   /** Whether the remaining input of a request that already has its response arrives too slowly. */
   boolean isRemainderTooSlow(long nowNanos) {
-    return nowNanos - idleSinceNanos > receiveTimeoutNanos;
+    return nowNanos - unusedSinceNanos() > receiveTimeoutNanos;
   }
 
   /**
@@ -134,7 +137,7 @@
     long idleNanos = server.settings().maxIdleMillis() * NANOS_PER_MILLI;
     boolean isIdle =
         requestSeen
-            ? nowNanos - idleSinceNanos > idleNanos
+            ? nowNanos - unusedSinceNanos() > idleNanos
             : nowNanos - openedAtNanos > receiveTimeoutNanos;
     return isIdle ? CloseReason.IDLE : null;
   }
@@ -148,7 +151,7 @@
     long sheddingSinceNanos = server.settings().daemon() ? 0 : server.sheddingSinceNanos();
     return sheddingSinceNanos != 0
         && (requestSeen
-            ? nowNanos - Math.max(idleSinceNanos, sheddingSinceNanos) > IDLE_DEPARTURE_NANOS
+            ? nowNanos - Math.max(unusedSinceNanos(), sheddingSinceNanos) > IDLE_DEPARTURE_NANOS
             : nowNanos - Math.max(openedAtNanos, sheddingSinceNanos) > SILENT_DEPARTURE_NANOS);
   }
 
@@ -161,6 +164,14 @@
     return bytesPerSecond == 0 ? 0 : bodyBytes * NANOS_PER_SECOND / bytesPerSecond;
   }
 
+  /**
+   * Returns the time since which the client has neither sent anything nor had a response to take:
+   * the kernel may take the end of a response long after it was passed to the channel.
+   */
+  private long unusedSinceNanos() {
+    return Math.max(idleSinceNanos, output.pendingAtNanos());
+  }
+
   private long receivingSinceNanos() {
     return requestSeen ? decoder.receivingSinceNanos() : openedAtNanos;
   }
--- a/src/test/java/leadferry/daemon/SlowReaderTest.java
+++ b/src/test/java/leadferry/daemon/SlowReaderTest.java
@@ -30,8 +30,11 @@
 
   private static final PacedReader.Pace SHORT_STEADY = new PacedReader.Pace(250_000, 2_000);
 
+  private static final PacedReader.Pace AT_ONCE = new PacedReader.Pace(0, 0);
+
   @TempDir Path folder;
   private DaemonFixture fixture;
+  private int bodyBytes = BODY_BYTES;
 
   @BeforeEach
   void open() {
@@ -49,8 +52,8 @@
             (host, in, out, socket) -> {
               while (host.readHead(in) != null) {
                 RawUpstream.write(
-                    out, "HTTP/1.1 200 OK\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n");
-                out.write(new byte[BODY_BYTES]);
+                    out, "HTTP/1.1 200 OK\r\nContent-Length: " + bodyBytes + "\r\n\r\n");
+                out.write(new byte[bodyBytes]);
               }
             });
     fixture.start(
@@ -78,7 +81,7 @@
       ProxyFixture.write(socket, request("POST", "/claim", "r"));
       assertThat(PacedReader.readBody(socket, STEADY)).isEqualTo(BODY_BYTES);
       ProxyFixture.write(socket, request("POST", "/claim", "again"));
-      assertThat(PacedReader.readBody(socket, new PacedReader.Pace(0, 0))).isEqualTo(BODY_BYTES);
+      assertThat(PacedReader.readBody(socket, AT_ONCE)).isEqualTo(BODY_BYTES);
     }
   }
 
@@ -93,4 +96,18 @@
       assertThat(ProxyFixture.isClosedByPeer(socket)).isTrue();
     }
   }
+
+  /** Guards against an idle time that counts from the hand-over of a response that is not read. */
+  @ParameterizedTest
+  @ValueSource(strings = {"nio", "epoll"})
+  void idleTimeCountsFromTheEndOfAResponse(String transport) throws Exception {
+    start(transport, "idle_ms = 1500");
+    try (Socket socket = client()) {
+      ProxyFixture.write(socket, request("POST", "/claim", "r"));
+      assertThat(PacedReader.readBody(socket, SHORT_STEADY)).isEqualTo(BODY_BYTES);
+      Thread.sleep(500); // the daemon closes idle connections several times a second
+      ProxyFixture.write(socket, request("POST", "/claim", "again"));
+      assertThat(PacedReader.readBody(socket, AT_ONCE)).isEqualTo(BODY_BYTES);
+    }
+  }
 }
