Keep a closed connection half open until its client has had the time to read its response

Callers saw: a response that was whole in the kernel and was cut off while its client read it: 384 kB of 2 MB, after the client had sent a further request. Cause: 0.5 s after a last response, and at once after the idle time or at the start of a drain, the socket was closed, whatever its client had received. Input behind a close is answered by a reset, and that drops what the kernel still holds.

--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -21,7 +21,7 @@
  * <p>Used only on the connection's event loop.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
-  /** Delay (ms) before the close, in which the client can read its last response. */
+  /** Least delay (ms) before the close, in which the client can read its last response. */
   private static final long LINGER_MILLIS = 500;
 
   private final HttpServer server;
@@ -274,8 +274,9 @@
 
   /**
    * Closes the connection after a response. Guards against a TCP reset that overtakes the response:
-   * a close of a socket with unread input sends a reset. The output is shut down first, and
-   * remaining input is discarded for {@link #LINGER_MILLIS}.
+   * a close of a socket with unread or later input sends a reset, which drops what the kernel still
+   * holds of the response. The output is shut down first, and input is discarded until the client
+   * closes the connection, or until it has had {@link #LINGER_MILLIS} and all of its response.
    */
   private void linger() {
     if (!channel.isActive()) {
@@ -283,7 +284,30 @@
     }
     startDiscardingInput();
     channel.shutdownOutput();
-    channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    scheduleLingerEnd();
+  }
+
+  private void scheduleLingerEnd() {
+    channel.eventLoop().schedule(this::endLinger, LINGER_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void endLinger() {
+    if (channel.isOpen() && output.mayBeUnread(System.nanoTime())) {
+      scheduleLingerEnd();
+    } else {
+      channel.close();
+    }
+  }
+
+  /** Closes a connection between requests; its client receives the rest of its last response. */
+  void closeUnused(CloseReason reason) {
+    if (output.mayBeUnread(System.nanoTime())) {
+      log.logClosed(reason, call);
+      markFinished();
+      linger();
+    } else {
+      close(reason);
+    }
   }
 
   /** Closes the connection immediately and logs the reason. */
@@ -404,7 +428,9 @@
       }
     } else {
       CloseReason reason = timeouts.idleCloseReason(nowNanos);
-      closeWhenDue(reason != null, reason);
+      if (reason != null && channel.isOpen()) {
+        closeUnused(reason);
+      }
     }
   }
 
--- a/src/main/java/leadferry/http/ClientConnections.java
+++ b/src/main/java/leadferry/http/ClientConnections.java
@@ -61,7 +61,7 @@
   void closeIdleForDrain() {
     for (ClientConnection connection : snapshot()) {
       if (connection.isClosableAtDrain()) {
-        connection.close(CloseReason.DRAINING);
+        connection.closeUnused(CloseReason.DRAINING);
       }
     }
   }
@@ -74,7 +74,7 @@
     boolean anyClosed = false;
     for (ClientConnection connection : snapshot()) {
       if (connection.isClosable(HttpServer.readUntilNanos())) {
-        connection.close(CloseReason.DRAINING);
+        connection.closeUnused(CloseReason.DRAINING);
         anyClosed = true;
       }
     }
--- a/src/test/java/leadferry/daemon/SlowReaderTest.java
+++ b/src/test/java/leadferry/daemon/SlowReaderTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -32,6 +33,9 @@
 
   private static final PacedReader.Pace AT_ONCE = new PacedReader.Pace(0, 0);
 
+  /** Length of a body that the kernel takes at once, while its client has read little of it. */
+  private static final int KERNEL_BODY_BYTES = 2_000_000;
+
   @TempDir Path folder;
   private DaemonFixture fixture;
   private int bodyBytes = BODY_BYTES;
@@ -110,4 +114,51 @@
       assertThat(PacedReader.readBody(socket, AT_ONCE)).isEqualTo(BODY_BYTES);
     }
   }
+
+  /**
+   * Guards against a reset that drops what the kernel still holds of a response: the client sends a
+   * further request after the daemon has closed the connection, which it can't know yet.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "nio, Connection: close, 60000",
+    "epoll, Connection: close, 60000",
+    "nio, X-Any: 1, 300",
+    "epoll, X-Any: 1, 300"
+  })
+  void laterRequestDoesNotCutOffAResponse(String transport, String line, int idleMillis)
+      throws Exception {
+    bodyBytes = KERNEL_BODY_BYTES;
+    start(transport, "idle_ms = " + idleMillis);
+    try (Socket socket = client()) {
+      ProxyFixture.write(socket, request("POST", "/claim", "r", line));
+      ProxyFixture.runInBackground(
+          () -> {
+            Thread.sleep(1_500);
+            ProxyFixture.write(socket, request("POST", "/claim", "behind"));
+          });
+      assertThat(PacedReader.readBody(socket, new PacedReader.Pace(250_000, 3_000)))
+          .isEqualTo(KERNEL_BODY_BYTES);
+    }
+  }
+
+  /** Guards against the same in a drain, which closes idle connections at once. */
+  @ParameterizedTest
+  @ValueSource(strings = {"nio", "epoll"})
+  void requestBehindADrainDoesNotCutOffAResponse(String transport) throws Exception {
+    bodyBytes = KERNEL_BODY_BYTES;
+    start(transport, "");
+    try (Socket socket = client()) {
+      ProxyFixture.write(socket, request("POST", "/claim", "r"));
+      ProxyFixture.runInBackground(
+          () -> {
+            Thread.sleep(500);
+            fixture.daemon.drain();
+            Thread.sleep(1_000);
+            ProxyFixture.write(socket, request("POST", "/claim", "behind"));
+          });
+      assertThat(PacedReader.readBody(socket, new PacedReader.Pace(250_000, 3_000)))
+          .isEqualTo(KERNEL_BODY_BYTES);
+    }
+  }
 }
