refactor: Give a client connection's time limits and its lingering close classes of their own

Change: TimeoutEnforcer holds the limits with the one rule that comes first, LingeringClose the two steps of a close; one method resumes. No behaviour changes.

--- a/src/main/java/leadferry/http/ClientConnection.java
+++ b/src/main/java/leadferry/http/ClientConnection.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.concurrent.TimeUnit;
 import leadferry.engine.Dispatcher;
 
 /**
@@ -21,9 +20,6 @@
  * <p>Used only on the connection's event loop.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
-  /** Least delay (ms) before the close, in which the client can read its last response. */
-  private static final long LINGER_MILLIS = 500;
-
   private final HttpServer server;
   private final SocketChannel channel;
   private final RequestDecoder decoder;
@@ -35,6 +31,8 @@
   private final DisconnectDetector disconnectDetector;
   private final RequestLog log;
   private final OutputProgress output;
+  private final LingeringClose lingeringClose;
+  private final TimeoutEnforcer timeoutEnforcer;
   private ConnectionState state = ConnectionState.OPEN;
   private HttpCall call;
   private boolean rejectionLogged;
@@ -55,6 +53,8 @@
     this.disconnectDetector = new DisconnectDetector(this, server, channel);
     this.intake = new RequestIntake(this, server, channel, decoder, responseWriter);
     this.discarded = intake.discardedInput();
+    this.lingeringClose = new LingeringClose(channel, output);
+    this.timeoutEnforcer = new TimeoutEnforcer(this, intake, responseWriter, timeouts, output);
     int maxQueuedRequests = server.settings().maxPipelinedRequests() - 1;
     this.pipeline =
         new PipelineQueue(this, channel, decoder, intake, server.headBudget(), maxQueuedRequests);
@@ -272,30 +272,11 @@
     }
   }
 
-  /**
-   * Closes the connection after a response. Guards against a TCP reset that overtakes the response:
-   * a close of a socket with unread or later input sends a reset, which drops what the kernel still
-   * holds of the response. The output is shut down first, and input is discarded until the client
-   * closes the connection, or until it has had {@link #LINGER_MILLIS} and all of its response.
-   */
+  /** Closes the connection after a response that has been written; see {@link LingeringClose}. */
   private void linger() {
-    if (!channel.isActive()) {
-      return;
-    }
-    startDiscardingInput();
-    channel.shutdownOutput();
-    scheduleLingerEnd();
-  }
-
-  private void scheduleLingerEnd() {
-    channel.eventLoop().schedule(this::endLinger, LINGER_MILLIS, TimeUnit.MILLISECONDS);
-  }
-
-  private void endLinger() {
-    if (channel.isOpen() && output.mayBeUnread(System.nanoTime())) {
-      scheduleLingerEnd();
-    } else {
-      channel.close();
+    if (channel.isActive()) {
+      startDiscardingInput();
+      lingeringClose.begin();
     }
   }
 
@@ -385,58 +366,20 @@
     if (call != null || output.isPending() || !channel.isOpen()) {
       return EvictionOrder.NEVER; // in use, or closed and not yet removed
     }
-    return state == ConnectionState.DISCARDING
-        ? EvictionOrder.RESPONDED
-        : timeouts.evictionOrder(nowNanos);
+    return isDiscardingInput() ? EvictionOrder.RESPONDED : timeouts.evictionOrder(nowNanos);
   }
 
   /** Enforces the time limits of the connection; called several times a second. */
   void enforceTimeouts(long nowNanos) {
-    output.update();
-    if (output.isStalled(nowNanos)) {
-      endStalled();
-    } else if (call != null
-        && intake.upload() != null
-        && !output.mayBeUnread(nowNanos) // a client may read its response before it sends the rest
-        && intake.upload().isStalled(nowNanos, timeouts.receiveTimeoutNanos())) {
-      call.exchange().abandon(); // the request body has stalled
-    } else if (responseWriter.isStreamStalled(nowNanos)) {
-      responseWriter.abortStream();
-    } else if (state != ConnectionState.DISCARDING && call == null) {
-      enforceTimeoutsWithoutCall(nowNanos);
-    }
+    timeoutEnforcer.enforce(nowNanos);
   }
 
-  /** Ends the connection of a client that receives nothing, whatever the connection waits for. */
-  private void endStalled() {
-    if (call != null) {
-      responseWriter.abortStream();
-    } else {
-      closeWhenDue(true, CloseReason.STALLED);
-    }
-  }
-
-  private void enforceTimeoutsWithoutCall(long nowNanos) {
-    if (discarded.isSkipping()) {
-      boolean isReading = output.mayBeUnread(nowNanos);
-      closeWhenDue(!isReading && timeouts.isRemainderTooSlow(nowNanos), CloseReason.SLOW);
-    } else if (output.isPending()) {
-      return; // in use, for as long as the client receives it
-    } else if (decoder.isReceiving()) {
-      if (timeouts.isRequestTooSlow(nowNanos, intake.heldBodyBytes())) {
-        reject(intake.isPaused() ? 503 : 408);
-      }
-    } else {
-      CloseReason reason = timeouts.idleCloseReason(nowNanos);
-      if (reason != null && channel.isOpen()) {
-        closeUnused(reason);
-      }
-    }
+  boolean isOpen() {
+    return channel.isOpen();
   }
 
-  private void closeWhenDue(boolean due, CloseReason reason) {
-    if (due && channel.isOpen()) {
-      close(reason);
-    }
+  /** Whether all further input is discarded undecoded. */
+  boolean isDiscardingInput() {
+    return state == ConnectionState.DISCARDING;
   }
 }
--- a/src/main/java/leadferry/http/ConnectionTimeouts.java
+++ b/src/main/java/leadferry/http/ConnectionTimeouts.java
@@ -98,6 +98,11 @@
     return requestSeen || nowNanos - openedAtNanos > EVICT_SILENT_NANOS;
   }
 
+  /** Whether part of a request has arrived. */
+  boolean isReceiving() {
+    return decoder.isReceiving();
+  }
+
   /** Returns the eviction class of a connection without an open request. */
   EvictionOrder evictionOrder(long nowNanos) {
     if (decoder.isReceiving()) {
--- a/src/main/java/leadferry/http/HttpAttempt.java
+++ b/src/main/java/leadferry/http/HttpAttempt.java
@@ -105,13 +105,6 @@
     return call.upload() == null ? isFullyWritten() : uploadComplete;
   }
 
-  /** Resumes reading a streamed response when the client's socket is writable again. */
-  void onClientWritable() {
-    if (!isOver() && connection() != null) {
-      connection().channel().config().setAutoRead(true);
-    }
-  }
-
   @Override
   protected LoadReport loadReport() {
     return report;
@@ -320,8 +313,8 @@
     }
   }
 
-  /** Resumes reading when memory for bodies is free. */
-  private void resumeReading() {
+  /** Resumes reading when memory for bodies is free, or the client's socket is writable again. */
+  void resumeReading() {
     if (!isOver() && connection() != null) {
       connection().channel().config().setAutoRead(true);
     }
--- a/src/main/java/leadferry/http/HttpCall.java
+++ b/src/main/java/leadferry/http/HttpCall.java
@@ -252,7 +252,7 @@
   /** Resumes the streamed response when the client's socket is writable again. */
   void onClientWritable() {
     if (streamingAttempt != null) {
-      streamingAttempt.onClientWritable();
+      streamingAttempt.resumeReading();
     }
   }
 
--- a/src/test/java/leadferry/daemon/UnreadResponseTest.java
+++ b/src/test/java/leadferry/daemon/UnreadResponseTest.java
@@ -6,9 +6,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -47,10 +49,10 @@
 
   @TempDir Path folder;
 
-  private static void serve(RawUpstream host, java.io.InputStream in, OutputStream out)
+  private static void serve(RawUpstream host, InputStream input, OutputStream out)
       throws IOException {
     String head;
-    while ((head = host.readHead(in)) != null) {
+    while ((head = host.readHead(input)) != null) {
       boolean isChunked = head.contains("/chunked");
       String framing = isChunked ? "Transfer-Encoding: chunked" : "Content-Length: " + BODY_BYTES;
       RawUpstream.write(out, "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n");
@@ -66,7 +68,7 @@
 
   private DaemonFixture start(String transport) throws Exception {
     DaemonFixture fixture = new DaemonFixture(folder.resolve(transport));
-    java.nio.file.Files.createDirectory(folder.resolve(transport));
+    Files.createDirectory(folder.resolve(transport));
     RawUpstream upstream =
         fixture.startRawUpstream((host, in, out, socket) -> serve(host, in, out));
     fixture.start(
--- a/src/test/java/leadferry/proxy/PacedReader.java
+++ b/src/test/java/leadferry/proxy/PacedReader.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 
 /** Reads the body of a response slowly at first, and tells how much of it came. */
 public final class PacedReader {
@@ -76,7 +77,7 @@
       throw new IOException("response: " + head);
     }
     InputStream body = new PacedInput(input, pace);
-    String lowerCaseHead = head.toLowerCase(java.util.Locale.ROOT);
+    String lowerCaseHead = head.toLowerCase(Locale.ROOT);
     if (lowerCaseHead.contains("transfer-encoding: chunked")) {
       return readChunks(body);
     }
