--- a/src/main/java/leadferry/http/OutputProgress.java
+++ b/src/main/java/leadferry/http/OutputProgress.java
@@ -66,11 +66,9 @@
   @Override
   public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
     if (message instanceof ByteBuf bytes) {
-      if (!isPending()) {
-        progressAtNanos = System.nanoTime();
-      }
-      submittedBytes += bytes.readableBytes();
       pendingAtNanos = System.nanoTime();
+      progressAtNanos = isPending() ? progressAtNanos : pendingAtNanos;
+      submittedBytes += bytes.readableBytes();
     }
     ctx.write(message, promise);
   }
