Stop reading in place of closing where much input follows a response that is being read

Callers saw: a response to a long upload that came early and was cut off at 129 kB of 2 MB: the client had gone on to send its request, as HTTP lets it. Cause: past 1 MiB of discarded input the connection was closed, whatever its client had received; the input behind the close was answered by a reset, which drops what the kernel still holds of the response. Change: such a connection is no longer read until the time to read its response is over (OutputProgress.mayBeUnread); then it is closed. Measured: SlowReaderTest.restOfALongRequestDoesNotCutOffItsResponse (daemon, nio and epoll) failed before, passes; StreamingTest and FloodTest pass.

--- a/src/main/java/leadferry/http/DiscardedInput.java
+++ b/src/main/java/leadferry/http/DiscardedInput.java
@@ -17,6 +17,7 @@
   private final ClientConnection client;
   private final SocketChannel channel;
   private final RequestDecoder decoder;
+  private final OutputProgress output;
   private final long maxSkippedBytes;
   private boolean skipping;
   private long discardedBytes;
@@ -26,6 +27,7 @@
     this.client = client;
     this.channel = channel;
     this.decoder = decoder;
+    this.output = OutputProgress.of(channel, server.transport());
     this.maxSkippedBytes = server.settings().maxStreamedBodyBytes();
   }
 
@@ -59,10 +61,18 @@
     return discardedBytes > MAX_LINGER_BYTES;
   }
 
-  /** Discards input after the last response, and closes the connection beyond the limit. */
+  /**
+   * Discards input after the last response. Beyond the limit the connection is closed, or no longer
+   * read while its client may still be reading the response, which a reset would cut off.
+   */
   void discard(Object message) {
     discardedBytes += readableBytes(message);
-    if (discardedBytes > MAX_LINGER_BYTES) {
+    if (discardedBytes <= MAX_LINGER_BYTES) {
+      return;
+    }
+    if (output.mayBeUnread(System.nanoTime())) {
+      channel.config().setAutoRead(false);
+    } else {
       channel.close();
     }
   }
--- a/src/test/java/leadferry/daemon/SlowReaderTest.java
+++ b/src/test/java/leadferry/daemon/SlowReaderTest.java
@@ -65,6 +65,7 @@
         LISTENER + listenerLines,
         CLASSES,
         RawUpstream.pool("a", "max_answer_bytes = " + BODY_BYTES, upstream),
+        route("streamed", "/streamed", "class = \"claim\"\npool = \"a\"\nstream = true"),
         CLAIMS);
   }
 
@@ -161,4 +162,26 @@
           .isEqualTo(KERNEL_BODY_BYTES);
     }
   }
+
+  /**
+   * Guards against the same where the client goes on to send a long request whose response has come
+   * early.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"nio", "epoll"})
+  void restOfALongRequestDoesNotCutOffItsResponse(String transport) throws Exception {
+    bodyBytes = KERNEL_BODY_BYTES;
+    start(transport, "max_body_bytes = " + BODY_BYTES);
+    try (Socket socket = client()) {
+      ProxyFixture.write(
+          socket, request("PUT", "/streamed", "r", "Content-Length: " + BODY_BYTES) + "begin");
+      ProxyFixture.runInBackground(
+          () -> {
+            Thread.sleep(500);
+            socket.getOutputStream().write(new byte[BODY_BYTES - "begin".length()]);
+          });
+      assertThat(PacedReader.readBody(socket, new PacedReader.Pace(250_000, 3_000)))
+          .isEqualTo(KERNEL_BODY_BYTES);
+    }
+  }
 }
