test: Connect clients with a small receive buffer in one place

Change: PacedReader.connect. No assertion, size, pace or bound changes. Measured: EarlyResponseTest, both SlowReaderTest and UnreadResponseTest pass; formatter and linter are clean.

--- a/src/test/java/leadferry/daemon/SlowReaderTest.java
+++ b/src/test/java/leadferry/daemon/SlowReaderTest.java
@@ -70,11 +70,7 @@
   }
 
   private Socket client() throws IOException {
-    Socket socket = new Socket();
-    socket.setReceiveBufferSize(PacedReader.RECEIVE_BUFFER_BYTES);
-    socket.connect(fixture.address());
-    socket.setSoTimeout(ProxyFixture.TIMEOUT_MILLIS);
-    return socket;
+    return PacedReader.connect(fixture.address());
   }
 
   /** Guards against a client that counts as stalled because its response was handed on long ago. */
--- a/src/test/java/leadferry/daemon/UnreadResponseTest.java
+++ b/src/test/java/leadferry/daemon/UnreadResponseTest.java
@@ -87,10 +87,7 @@
   private static long receive(
       DaemonFixture fixture, String request, String behind, PacedReader.Pace pace)
       throws Exception {
-    try (Socket socket = new Socket()) {
-      socket.setReceiveBufferSize(PacedReader.RECEIVE_BUFFER_BYTES);
-      socket.connect(fixture.address());
-      socket.setSoTimeout(ProxyFixture.TIMEOUT_MILLIS);
+    try (Socket socket = PacedReader.connect(fixture.address())) {
       ProxyFixture.write(socket, request);
       ProxyFixture.runInBackground(
           () -> {
--- a/src/test/java/leadferry/proxy/EarlyResponseTest.java
+++ b/src/test/java/leadferry/proxy/EarlyResponseTest.java
@@ -4,7 +4,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -82,10 +81,7 @@
   private Callable<String> exchange(
       int size, PacedReader.Pace pace, int restAfterMillis, String... lines) {
     return () -> {
-      try (Socket socket = new Socket()) {
-        socket.setReceiveBufferSize(PacedReader.RECEIVE_BUFFER_BYTES);
-        socket.connect(new InetSocketAddress("127.0.0.1", fixture.proxy.address().getPort()));
-        socket.setSoTimeout(ProxyFixture.TIMEOUT_MILLIS);
+      try (Socket socket = PacedReader.connect(fixture.proxy.address())) {
         List<String> all = new ArrayList<>(List.of(lines));
         all.add("Content-Length: " + REQUEST_BYTES);
         all.add("X-Timeout-Ms: 3000");
--- a/src/test/java/leadferry/proxy/PacedReader.java
+++ b/src/test/java/leadferry/proxy/PacedReader.java
@@ -3,6 +3,7 @@
 import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
@@ -10,7 +11,7 @@
 /** Reads the body of a response slowly at first, and tells how much of it came. */
 public final class PacedReader {
   /** Receive buffer of a client, so small that its kernel hides little of what it has not read. */
-  public static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
+  private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
 
   private static final int READS_PER_SECOND = 20;
   private static final int FAST_READ_BYTES = 64 * 1024;
@@ -64,6 +65,15 @@
 
   private PacedReader() {}
 
+  /** Connects a client with a small receive buffer. */
+  public static Socket connect(InetSocketAddress address) throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+    socket.connect(address);
+    socket.setSoTimeout(ProxyFixture.TIMEOUT_MILLIS);
+    return socket;
+  }
+
   /**
    * Reads the head of a response at once and its body at a pace.
    *
--- a/src/test/java/leadferry/proxy/SlowReaderTest.java
+++ b/src/test/java/leadferry/proxy/SlowReaderTest.java
@@ -4,7 +4,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -89,11 +88,7 @@
   }
 
   private Socket client() throws IOException {
-    Socket socket = new Socket();
-    socket.setReceiveBufferSize(PacedReader.RECEIVE_BUFFER_BYTES);
-    socket.connect(new InetSocketAddress("127.0.0.1", fixture.proxy.address().getPort()));
-    socket.setSoTimeout(ProxyFixture.TIMEOUT_MILLIS);
-    return socket;
+    return PacedReader.connect(fixture.proxy.address());
   }
 
   /** Reads responses of all lengths at the same time; returns those that were cut off. */
