--- a/src/main/java/leadferry/proxy/DiscoveryConnection.java
+++ b/src/main/java/leadferry/proxy/DiscoveryConnection.java
@@ -29,18 +29,26 @@
   private static final String CHANGES_QUERY = "?follow=1&since=";
 
   private final DiscoveryWatch watch;
+  private final int number;
   private final InetSocketAddress address;
   private final Channel channel;
   private final EndpointListFramer framer = new EndpointListFramer();
   private long lastReadNanos = System.nanoTime();
   private boolean followsChanges;
 
-  DiscoveryConnection(DiscoveryWatch watch, InetSocketAddress address, Channel channel) {
+  DiscoveryConnection(
+      DiscoveryWatch watch, int number, InetSocketAddress address, Channel channel) {
     this.watch = watch;
+    this.number = number;
     this.address = address;
     this.channel = channel;
   }
 
+  /** Returns the number of this call in the trace. */
+  int number() {
+    return number;
+  }
+
   /** Installs the HTTP codec; called once the channel is connected. */
   void open() {
     channel.pipeline().addLast(new HttpResponseDecoder(), new HttpRequestEncoder(), this);
--- a/src/main/java/leadferry/proxy/DiscoveryWatch.java
+++ b/src/main/java/leadferry/proxy/DiscoveryWatch.java
@@ -73,6 +73,8 @@
   /** Whether the next connection has the shorter timeout for its first response. */
   private boolean expectsPromptResponse = true;
 
+  private final DiscoveryCallTrace trace;
+
   DiscoveryWatch(EventLoopGroup loop, Config config, Dispatcher dispatcher, Log log) {
     this(loop, config, dispatcher, log, RetryingSocketChannel.class);
   }
@@ -86,6 +88,7 @@
       Class<? extends Channel> channelType) {
     this.dispatcher = dispatcher;
     this.log = log;
+    this.trace = new DiscoveryCallTrace(log);
     this.address = config.discovery();
     this.polled = config.settings().shouldWatchDiscovery();
     this.backoff = new ReconnectBackoff(config.drainGraceMillis());
@@ -163,7 +166,8 @@
       onConnectionLost("out of sockets");
       return;
     }
-    DiscoveryConnection opened = new DiscoveryConnection(this, address, connecting.channel());
+    DiscoveryConnection opened =
+        new DiscoveryConnection(this, trace.begin(), address, connecting.channel());
     connection = opened;
     transition(WatchState.CONNECTING);
     connecting.addListener(
@@ -185,6 +189,7 @@
     if (connection != null) {
       DiscoveryConnection replaced = connection;
       connection = null;
+      trace.ended(replaced.number(), "replaced");
       replaced.close();
     }
   }
@@ -195,6 +200,7 @@
       return;
     }
     opened.open();
+    trace.accepted(opened.number());
     transition(WatchState.AWAITING_RESPONSE);
     requestUpdates();
   }
@@ -257,6 +263,7 @@
   void onFailure(DiscoveryConnection failed, String reason) {
     failed.close();
     if (isCurrent(failed)) {
+      trace.ended(failed.number(), reason);
       onConnectionLost(reason);
     }
   }
@@ -288,6 +295,7 @@
    */
   private void confirm() {
     if (state == WatchState.RECEIVING) {
+      trace.answered(connection.number(), version);
       transition(WatchState.SYNCHRONIZED);
     }
     confirmed = true;
