--- a/src/main/java/leadferry/proxy/DiscoveryCallTrace.java
+++ b/src/main/java/leadferry/proxy/DiscoveryCallTrace.java
@@ -36,6 +36,11 @@
     write(call, "answered version " + version);
   }
 
+  /** Records that a watch has been silent for too long. */
+  void silent(int call) {
+    write(call, "silent");
+  }
+
   /** Records the end of a call or of its watch. */
   void ended(int call, String reason) {
     write(call, "ended: " + reason);
--- a/src/main/java/leadferry/proxy/DiscoveryConnection.java
+++ b/src/main/java/leadferry/proxy/DiscoveryConnection.java
@@ -18,10 +18,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import leadferry.engine.UpstreamHosts;
 
 /**
  * HTTP connection to discovery that sends requests and reads the endpoint lists of the responses.
- * {@link DiscoveryWatch} handles what was read, for its present connection only. Confined to the
+ * {@link DiscoveryWatch} handles what was read, for its open connections only. Confined to the
  * event loop.
  */
 final class DiscoveryConnection extends ChannelInboundHandlerAdapter {
@@ -33,7 +34,8 @@
   private final InetSocketAddress address;
   private final Channel channel;
   private final EndpointListFramer framer = new EndpointListFramer();
-  private long lastReadNanos = System.nanoTime();
+  private final long beginNanos = System.nanoTime();
+  private long lastMessageNanos = beginNanos;
   private boolean followsChanges;
 
   DiscoveryConnection(
@@ -80,23 +82,22 @@
     channel.writeAndFlush(request);
   }
 
-  /**
-   * Returns the time (ns) at which the last part of a response was read, or this connection was
-   * created.
-   */
-  long lastReadNanos() {
-    return lastReadNanos;
+  /** Returns the time (ns) at which this call began. */
+  long beginNanos() {
+    return beginNanos;
   }
 
-  /** Whether a list began more than {@code timeoutNanos} ago and has not ended. */
-  boolean isListStalled(long nowNanos, long timeoutNanos) {
-    return framer.isStalled(nowNanos, timeoutNanos);
+  /**
+   * Returns the time (ns) at which the last complete message was read, or at which this call began.
+   */
+  long lastMessageNanos() {
+    return lastMessageNanos;
   }
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
-      if (watch.isCurrent(this)) {
+      if (watch.isOpen(this)) {
         readPart((HttpObject) message);
       }
     } finally {
@@ -105,26 +106,29 @@
   }
 
   private void readPart(HttpObject part) {
-    lastReadNanos = System.nanoTime();
-    watch.onResponsePart();
     if (part.decoderResult().isFailure()) {
       fail("malformed answer");
     } else if (part instanceof HttpResponse head
         && head.status().code() != HttpResponseStatus.OK.code()) {
       fail("answered " + head.status().code());
+    } else if (part instanceof HttpResponse) {
+      watch.onResponseHead(this);
     } else if (part instanceof HttpContent content) {
       readContent(content.content());
-      if (part instanceof LastHttpContent && watch.isCurrent(this)) {
+      if (part instanceof LastHttpContent && watch.isOpen(this)) {
         endResponse();
       }
     }
   }
 
   private void readContent(ByteBuf bytes) {
-    while (bytes.isReadable() && watch.isCurrent(this)) {
+    while (bytes.isReadable() && watch.isOpen(this)) {
       switch (framer.read(bytes)) {
         case INCOMPLETE -> {}
-        case EMPTY_LINE -> watch.onUnchanged();
+        case EMPTY_LINE -> {
+          lastMessageNanos = System.nanoTime();
+          watch.onUnchanged(this);
+        }
         case LIST -> readList();
         case TRUNCATED_LIST -> fail("can't be understood: a list that is cut");
         case TOO_LONG -> fail("list exceeds the maximum size");
@@ -134,7 +138,9 @@
 
   private void readList() {
     try {
-      watch.onList(framer.takeList());
+      UpstreamHosts.ListUpdate list = framer.takeList();
+      lastMessageNanos = System.nanoTime();
+      watch.onList(this, list);
     } catch (MalformedEndpointListException e) {
       // The last valid list stays in force; the next connection requests the changes of this one
       // again.
@@ -146,8 +152,8 @@
     if (!followsChanges && !framer.isEmpty()) {
       readList(); // The last line of a full list may lack its line feed.
     }
-    if (watch.isCurrent(this)) {
-      watch.onResponseEnd(followsChanges);
+    if (watch.isOpen(this)) {
+      watch.onResponseEnd(this, followsChanges);
     }
   }
 
--- a/src/main/java/leadferry/proxy/DiscoveryWatch.java
+++ b/src/main/java/leadferry/proxy/DiscoveryWatch.java
@@ -5,64 +5,80 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import leadferry.engine.Dispatcher;
 import leadferry.engine.Log;
 import leadferry.engine.ReadLagTracker;
 import leadferry.engine.RetryingSocketChannel;
 import leadferry.engine.UpstreamHosts;
+import leadferry.loadbalancer.DiscoveryTiming;
 import leadferry.loadbalancer.EndpointListEvent;
 
 /**
  * Watches the endpoint list of discovery. A new connection resumes from the last version that was
  * applied, and a lost connection therefore loses no change. At another discovery address, where
- * versions may be numbered differently, the watch starts with the full list. {@link WatchState}
- * defines its states.
+ * versions may be numbered differently, the watch starts with the full list.
  *
- * <p>If the settings let the load balancer poll discovery, the load balancer decides when the next
- * connection is opened; otherwise {@link ReconnectBackoff} does. Confined to the event loop.
+ * <p>{@link DiscoveryTiming} has the rule from which all intervals follow. A call begins on a
+ * connection of its own and becomes the watch with its first message; all other connections are
+ * then closed. While there is no watch, the next call begins
+ *
+ * <ul>
+ *   <li>after the latest one has failed, with a backoff: that of the load balancer if the settings
+ *       let it poll discovery, else {@link ReconnectBackoff};
+ *   <li>one call interval after the latest one began, whether it has failed or is still open.
+ * </ul>
+ *
+ * <p>Confined to the event loop.
  */
 final class DiscoveryWatch {
-  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-
   /**
-   * Maximum time without data on a watch, which receives some every 2 s. Guards against half-open
-   * watches: changes missed on such a watch count as notified after 6 s, and its replacement has to
-   * be open and to have a response by then.
+   * Time (ms) after which an agent on the same machine, which responds at once, is called once
+   * more. Further calls come at the usual intervals.
    */
-  private static final long SILENCE_TIMEOUT_NANOS = 3_000_000_000L;
+  private static final long AGENT_CALL_INTERVAL_MILLIS = 1_000;
 
   /**
-   * Maximum time until the first response of a connection. An agent on the same machine responds at
-   * once; a connection without a response is replaced after this time, once. Guards against a
-   * replacement that is silent as well: two silence timeouts exceed the 6 s.
+   * Maximum time without a message on the watch. The checks add up to {@link
+   * Proxy#HOUSEKEEPING_MILLIS} to it.
    */
-  private static final long FIRST_RESPONSE_TIMEOUT_NANOS = 1_000_000_000L;
+  private static final long SILENCE_TIMEOUT_NANOS =
+      TimeUnit.MILLISECONDS.toNanos(
+          (long) DiscoveryTiming.MAX_CALL_INTERVAL_MILLIS - Proxy.HOUSEKEEPING_MILLIS);
 
   /** Version while no list has been received from the present address. */
   private static final long NO_VERSION = -1;
 
   private final Dispatcher dispatcher;
   private final Log log;
-  private final boolean polled;
+  private final DiscoveryCallTrace trace;
   private final Bootstrap bootstrap;
   private final ReconnectBackoff backoff;
+  private final UnansweredCalls unanswered = new UnansweredCalls();
 
-  private WatchState state = WatchState.IDLE;
+  private boolean polled;
   private InetSocketAddress address;
   private long version = NO_VERSION;
 
-  /** Null in the states IDLE and BACKING_OFF. */
-  private DiscoveryConnection connection;
+  /** Connection that has delivered a message and has not been silent since; null while none has. */
+  private DiscoveryConnection watch;
+
+  /** Connection that was begun last; null before the first one. */
+  private DiscoveryConnection latest;
+
+  /** Begins the next call after a failure; not used where the load balancer does. */
+  private Future<?> scheduledRetry;
 
-  private Future<?> scheduledReconnect;
+  /** Begins the next call one interval after the latest one. */
+  private Future<?> scheduledCall;
 
   /** Whether discovery itself has sent or confirmed a list since the start. */
   private boolean confirmed;
@@ -70,11 +86,6 @@
   /** Cause of the last failure, or null after a valid response. A repeated cause is not logged. */
   private String lastFailure;
 
-  /** Whether the next connection has the shorter timeout for its first response. */
-  private boolean expectsPromptResponse = true;
-
-  private final DiscoveryCallTrace trace;
-
   DiscoveryWatch(EventLoopGroup loop, Config config, Dispatcher dispatcher, Log log) {
     this(loop, config, dispatcher, log, RetryingSocketChannel.class);
   }
@@ -96,7 +107,6 @@
         new Bootstrap()
             .group(loop)
             .channel(channelType)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
@@ -106,9 +116,9 @@
 
   /** Starts the load balancer with the endpoint list of the configuration, then the watch. */
   void start(JsonNode knownList) {
-    dispatcher.start(decodeKnown(knownList), this::connect);
+    dispatcher.start(decodeKnown(knownList), this::callUnlessPending);
     if (!polled) {
-      connect();
+      beginCall();
     }
   }
 
@@ -128,48 +138,58 @@
   }
 
   /**
-   * Moves the watch to another address. The present endpoints stay until the new discovery has sent
-   * its list.
+   * Applies another configuration. At another address, the present endpoints stay until the new
+   * discovery has sent its list.
    */
-  void moveTo(InetSocketAddress newAddress) {
-    if (!newAddress.equals(address)) {
-      address = newAddress;
+  void reconfigure(Config config) {
+    polled = config.settings().shouldWatchDiscovery();
+    if (!config.discovery().equals(address)) {
+      address = config.discovery();
       version = NO_VERSION;
       backoff.reset();
-      connect();
+      closeAllExcept(null, "moved to another address");
+      beginCall();
     }
   }
 
-  /** Fails a connection that has received nothing for too long, or whose list does not end. */
+  /** Begins a call beside a watch that has received no message for too long. */
   void checkTimeouts() {
-    if (connection == null) {
+    if (watch == null) {
       return;
     }
-    boolean prompt = !polled && expectsPromptResponse && !state.hasReceived();
-    long timeoutNanos = prompt ? FIRST_RESPONSE_TIMEOUT_NANOS : SILENCE_TIMEOUT_NANOS;
     // Data that this process has not read yet does not count as silence.
     long readUpToNanos = System.nanoTime() - ReadLagTracker.lagNanos();
-    if (readUpToNanos - connection.lastReadNanos() > timeoutNanos) {
-      expectsPromptResponse = !prompt;
-      onFailure(connection, "silent");
-    } else if (connection.isListStalled(readUpToNanos, SILENCE_TIMEOUT_NANOS)) {
-      onFailure(connection, "list incomplete after the timeout");
+    if (readUpToNanos - watch.lastMessageNanos() > SILENCE_TIMEOUT_NANOS) {
+      logFailure("silent");
+      trace.silent(watch.number());
+      addUnanswered(watch);
+      watch = null;
+      beginCall();
     }
   }
 
-  /** Opens a connection and closes the present one. */
-  private void connect() {
-    disconnect();
+  // --- calls
+
+  /** Begins a call unless discovery is watched or the latest call may still be answered. */
+  private void callUnlessPending() {
+    if (watch == null && !unanswered.contains(latest)) {
+      beginCall();
+    }
+  }
+
+  private void beginCall() {
+    cancelScheduledCalls();
+    scheduleCall(callIntervalMillis());
     ChannelFuture connecting = bootstrap.connect(address);
     if (!connecting.channel().isRegistered()) {
       // Guards against a watch that waits forever: a channel that was never opened is never closed.
-      onConnectionLost("out of sockets");
+      onLatestFailed("out of sockets");
       return;
     }
     DiscoveryConnection opened =
         new DiscoveryConnection(this, trace.begin(), address, connecting.channel());
-    connection = opened;
-    transition(WatchState.CONNECTING);
+    latest = opened;
+    addUnanswered(opened);
     connecting.addListener(
         done -> {
           if (done.isSuccess()) {
@@ -180,91 +200,145 @@
         });
   }
 
-  private void disconnect() {
-    if (scheduledReconnect != null) {
-      scheduledReconnect.cancel(false);
-      scheduledReconnect = null;
+  private void addUnanswered(DiscoveryConnection call) {
+    DiscoveryConnection givenUp = unanswered.add(call);
+    if (givenUp != null) {
+      close(givenUp, "given up for a later call");
+    }
+  }
+
+  private void close(DiscoveryConnection call, String reason) {
+    trace.ended(call.number(), reason);
+    call.close();
+  }
+
+  private void closeAllExcept(DiscoveryConnection kept, String reason) {
+    List<DiscoveryConnection> open = new ArrayList<>(unanswered.removeAll());
+    if (watch != null) {
+      open.add(watch);
+      watch = null;
+    }
+    open.remove(kept);
+    open.forEach(call -> close(call, reason));
+  }
+
+  /** Returns the time from the begin of a call to that of the next one, unless it is answered. */
+  private long callIntervalMillis() {
+    if (!polled && unanswered.isEmpty()) {
+      return AGENT_CALL_INTERVAL_MILLIS;
     }
-    transition(WatchState.IDLE);
-    if (connection != null) {
-      DiscoveryConnection replaced = connection;
-      connection = null;
-      trace.ended(replaced.number(), "replaced");
-      replaced.close();
+    return (long)
+        ThreadLocalRandom.current()
+            .nextDouble(
+                DiscoveryTiming.MIN_CALL_INTERVAL_MILLIS, DiscoveryTiming.MAX_CALL_INTERVAL_MILLIS);
+  }
+
+  private void scheduleCall(long delayMillis) {
+    scheduledCall = dispatcher.loop().schedule(this::beginCall, delayMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void cancelScheduledCalls() {
+    if (scheduledRetry != null) {
+      scheduledRetry.cancel(false);
+    }
+    if (scheduledCall != null) {
+      scheduledCall.cancel(false);
     }
   }
 
+  // --- events of connections
+
   private void onConnected(DiscoveryConnection opened) {
-    if (!isCurrent(opened)) {
+    if (!isOpen(opened)) {
       opened.close();
       return;
     }
     opened.open();
     trace.accepted(opened.number());
-    transition(WatchState.AWAITING_RESPONSE);
-    requestUpdates();
+    requestUpdates(opened);
   }
 
-  private void requestUpdates() {
+  private void requestUpdates(DiscoveryConnection call) {
     if (version == NO_VERSION) {
-      connection.requestList();
+      call.requestList();
     } else {
-      connection.requestChangesSince(version);
+      call.requestChangesSince(version);
     }
   }
 
-  /** Whether {@code candidate} is the present connection of this watch, and not a replaced one. */
-  boolean isCurrent(DiscoveryConnection candidate) {
-    return connection == candidate;
+  /** Whether {@code call} is the watch or may become it, and has not been closed. */
+  boolean isOpen(DiscoveryConnection call) {
+    return call == watch || unanswered.contains(call);
   }
 
-  /** Handles a part of a response. */
-  void onResponsePart() {
-    expectsPromptResponse = true;
-    if (state == WatchState.AWAITING_RESPONSE) {
-      transition(WatchState.RECEIVING);
+  /**
+   * Handles the begin of a successful response. An agent that has begun one is called again only
+   * after the time that a silent watch is given.
+   */
+  void onResponseHead(DiscoveryConnection call) {
+    if (!polled && watch == null && call == latest) {
+      scheduledCall.cancel(false);
+      scheduleCall((long) DiscoveryTiming.MAX_CALL_INTERVAL_MILLIS);
     }
   }
 
   /** Handles a valid list, either full or with changes only. */
-  void onList(UpstreamHosts.ListUpdate list) {
-    boolean first = state != WatchState.SYNCHRONIZED;
-    apply(list);
-    if (first) {
-      confirm();
+  void onList(DiscoveryConnection call, UpstreamHosts.ListUpdate list) {
+    if (version == NO_VERSION && !list.full()) {
+      onFailure(call, "changes came ahead of the list");
+      return;
     }
+    apply(list);
+    becomeWatch(call);
   }
 
   /** Handles the message of discovery that nothing has changed. */
-  void onUnchanged() {
-    boolean first = state != WatchState.SYNCHRONIZED;
+  void onUnchanged(DiscoveryConnection call) {
+    if (version == NO_VERSION) {
+      return; // an empty line ahead of the first list
+    }
     dispatcher.onUpToDate();
-    if (first && polled && version != NO_VERSION) {
+    if (call != watch && polled) {
       // Guards against a poll interval that grew during a failure and would outlast the next
       // failure.
       dispatcher.onEndpointList(
           EndpointListEvent.DELTA, new UpstreamHosts.ListUpdate(version, false, List.of()));
     }
-    if (first) {
-      confirm();
+    becomeWatch(call);
+  }
+
+  private void apply(UpstreamHosts.ListUpdate list) {
+    if (list.version() < version) {
+      log.line("watch: version " + list.version() + " is older than " + version + ", left out");
+      return;
     }
+    version = list.version();
+    dispatcher.onEndpointList(list.full() ? EndpointListEvent.FULL : EndpointListEvent.DELTA, list);
   }
 
-  /** Handles the end of a response that carried changes or the full list. */
-  void onResponseEnd(boolean followedChanges) {
-    if (followedChanges || version == NO_VERSION) {
-      onFailure(connection, "ended");
-    } else {
-      requestUpdates();
+  /**
+   * Watches the connection of a call from its first valid message on, even if its list could not be
+   * applied, and closes all others.
+   */
+  private void becomeWatch(DiscoveryConnection call) {
+    if (call == watch) {
+      return;
     }
+    trace.answered(call.number(), version);
+    cancelScheduledCalls();
+    closeAllExcept(call, "another call was answered");
+    watch = call;
+    confirmed = true;
+    lastFailure = null;
+    backoff.reset();
   }
 
-  /** Closes a connection. If it is the present one, the next connection is scheduled. */
-  void onFailure(DiscoveryConnection failed, String reason) {
-    failed.close();
-    if (isCurrent(failed)) {
-      trace.ended(failed.number(), reason);
-      onConnectionLost(reason);
+  /** Handles the end of a response that carried changes or the full list. */
+  void onResponseEnd(DiscoveryConnection call, boolean followedChanges) {
+    if (followedChanges || version == NO_VERSION) {
+      onFailure(call, "ended");
+    } else {
+      requestUpdates(call);
     }
   }
 
@@ -276,56 +350,44 @@
     onFailure(failed, "failed");
   }
 
-  private void apply(UpstreamHosts.ListUpdate list) {
-    if (version == NO_VERSION && !list.full()) {
-      onFailure(connection, "changes came ahead of the list");
+  /**
+   * Closes a connection. If it was the watch or the latest call, the next call is scheduled;
+   * otherwise a later call is under way.
+   */
+  void onFailure(DiscoveryConnection failed, String reason) {
+    if (!isOpen(failed)) {
+      failed.close();
       return;
     }
-    if (list.version() < version) {
-      log.line("watch: version " + list.version() + " is older than " + version + ", left out");
-      return;
+    boolean wasWatch = failed == watch;
+    unanswered.remove(failed);
+    watch = wasWatch ? null : watch;
+    close(failed, reason);
+    if (wasWatch) {
+      scheduleCall(callIntervalMillis());
     }
-    version = list.version();
-    dispatcher.onEndpointList(list.full() ? EndpointListEvent.FULL : EndpointListEvent.DELTA, list);
-  }
-
-  /**
-   * Marks the watch as synchronized at the first valid response of a connection, even if its list
-   * could not be applied.
-   */
-  private void confirm() {
-    if (state == WatchState.RECEIVING) {
-      trace.answered(connection.number(), version);
-      transition(WatchState.SYNCHRONIZED);
+    if (wasWatch || failed == latest) {
+      onLatestFailed(reason);
     }
-    confirmed = true;
-    lastFailure = null;
-    backoff.reset();
   }
 
-  /**
-   * Schedules the next connection after the present one was lost, or leaves the schedule to the
-   * load balancer.
-   */
-  private void onConnectionLost(String reason) {
-    connection = null;
-    if (!reason.equals(lastFailure)) {
-      log.line("watch: " + reason);
-    }
-    lastFailure = reason;
+  /** Schedules the next call, or leaves that to the load balancer. */
+  private void onLatestFailed(String reason) {
+    logFailure(reason);
     if (polled) {
-      transition(WatchState.IDLE);
       dispatcher.onWatchFailed();
     } else {
-      transition(WatchState.BACKING_OFF);
-      long delayMillis = backoff.nextDelayMillis();
-      scheduledReconnect =
-          dispatcher.loop().schedule(this::connect, delayMillis, TimeUnit.MILLISECONDS);
+      scheduledRetry =
+          dispatcher
+              .loop()
+              .schedule(this::beginCall, backoff.nextDelayMillis(), TimeUnit.MILLISECONDS);
     }
   }
 
-  private void transition(WatchState next) {
-    assert state.canTransitionTo(next) : state + " to " + next;
-    state = next;
+  private void logFailure(String reason) {
+    if (!reason.equals(lastFailure)) {
+      log.line("watch: " + reason);
+    }
+    lastFailure = reason;
   }
 }
--- a/src/main/java/leadferry/proxy/EndpointListFramer.java
+++ b/src/main/java/leadferry/proxy/EndpointListFramer.java
@@ -36,7 +36,6 @@
   private int lineStart;
 
   private int openBrackets;
-  private long firstLineNanos;
 
   /** Reads up to and including the next line feed, or all of {@code bytes} if they contain none. */
   Frame read(ByteBuf bytes) {
@@ -54,11 +53,6 @@
     return size == 0;
   }
 
-  /** Whether an indented list began more than {@code timeoutNanos} ago and has not ended. */
-  boolean isStalled(long nowNanos, long timeoutNanos) {
-    return lineStart > 0 && nowNanos - firstLineNanos > timeoutNanos;
-  }
-
   /** Decodes the bytes read so far as one list and empties the buffer. */
   UpstreamHosts.ListUpdate takeList() throws MalformedEndpointListException {
     int length = size;
@@ -88,9 +82,6 @@
     if (!listContinues()) {
       return Frame.LIST;
     }
-    if (!indented) {
-      firstLineNanos = System.nanoTime();
-    }
     lineStart = size;
     return Frame.INCOMPLETE;
   }
--- a/src/main/java/leadferry/proxy/Proxy.java
+++ b/src/main/java/leadferry/proxy/Proxy.java
@@ -28,7 +28,9 @@
 final class Proxy {
   private static final Transport TRANSPORT = new NioTransport();
 
-  private static final long HOUSEKEEPING_MILLIS = 200;
+  /** Interval of the periodic checks. */
+  static final long HOUSEKEEPING_MILLIS = 200;
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   /** Time for which binding the client address is retried, every {@link #LISTEN_RETRY_MILLIS}. */
@@ -230,7 +232,7 @@
   private void onReload(Config config) {
     upstreams.updateBounds(config.bounds());
     log.line("configuration reloaded, discovery at " + config.discovery());
-    discoveryWatch.moveTo(config.discovery());
+    discoveryWatch.reconfigure(config);
   }
 
   /** Starts the {@link GracefulShutdown}. */
--- a/src/test/java/leadferry/proxy/DiscoveryOutageLoad.java
+++ b/src/test/java/leadferry/proxy/DiscoveryOutageLoad.java
@@ -13,6 +13,7 @@
 public final class DiscoveryOutageLoad {
   private static final int PROXIES = 300;
   private static final int LOOPS = 4;
+  private static final int ASK_WITHIN_MILLIS = 10_000;
   private static final long OUTAGE_MILLIS = 60_000;
   private static final long RETURN_TIMEOUT_MILLIS = 60_000;
 
@@ -36,6 +37,7 @@
     try (QueueingDiscovery discovery = new QueueingDiscovery(list(41, "old"));
         ProxyFixture fixture = new ProxyFixture(folder, 128)) {
       fixture.pollsDiscovery = true;
+      fixture.askWithinMillis = ASK_WITHIN_MILLIS;
       Path config = fixture.writeConfig(discovery.address(), list(40, "old"));
       try (DiscoveryWatchFleet fleet =
           new DiscoveryWatchFleet(PROXIES, LOOPS, config, ProxyFixture.discardingLog())) {
--- a/src/test/java/leadferry/proxy/DiscoveryTest.java
+++ b/src/test/java/leadferry/proxy/DiscoveryTest.java
@@ -421,31 +421,30 @@
   void unchangedResponseResetsThePollInterval() throws Exception {
     fixture.pollsDiscovery = true;
     ProxyFixture.UpstreamHost host = fixture.new UpstreamHost(h -> ok("done"));
-    AtomicInteger calls = new AtomicInteger();
+    List<Long> calls = new CopyOnWriteArrayList<>();
     AtomicLong silentFrom = new AtomicLong();
-    AtomicLong askedAt = new AtomicLong();
     ProxyFixture.Server discovery =
         fixture.new Server() {
           @Override
           void serve(Socket socket) throws IOException {
             ProxyFixture.readMessage(socket.getInputStream());
-            if (calls.incrementAndGet() <= 4) {
-              write(socket, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
-              socket.close();
-            } else if (calls.get() == 5) {
+            calls.add(System.nanoTime());
+            if (calls.size() == 5) {
               write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
               silentFrom.set(System.nanoTime());
               ProxyFixture.readMessage(socket.getInputStream()); // until the watch ends
             } else {
-              askedAt.compareAndSet(0, System.nanoTime());
-              sendKeepAlives(socket);
+              write(socket, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+              socket.close();
             }
           }
         };
     start(discovery, list(40, entry("h", host.address())));
-    ProxyFixture.await(() -> askedAt.get() != 0);
-    // 3 s of silence, 0.2 s until the next check, and a first interval of 0.75 s at most.
-    assertThat(askedAt.get() - silentFrom.get()).isBetween(2_900_000_000L, 4_400_000_000L);
+    ProxyFixture.await(() -> calls.size() >= 7);
+    // A healthy watch has data every 2 s. From there, silence is noticed in 0.5 s.
+    assertThat(calls.get(5) - silentFrom.get()).isBetween(2_000_000_000L, 3_000_000_000L);
+    // A first interval of 0.75 s at most; it had grown to 2 s and more by the fourth call.
+    assertThat(calls.get(6) - calls.get(5)).isBetween(200_000_000L, 1_000_000_000L);
   }
 
   private static volatile int failuresLeft;
--- a/src/test/java/leadferry/proxy/ProxyFixture.java
+++ b/src/test/java/leadferry/proxy/ProxyFixture.java
@@ -41,6 +41,12 @@
   int deadlineMillis = 3_000;
   int repeatWindowMillis = 2_000;
   int drainGraceMillis = 500;
+
+  /**
+   * Time within which discovery has to be polled again, with four times as much after a failure.
+   */
+  int askWithinMillis = 6_000;
+
   int listenPort;
   int seed = 7;
 
@@ -348,7 +354,9 @@
             + ",\"connectTimeout\":"
             + connectTimeoutMillis
             + "},"
-            + "\"rules\":{\"cold\":1000,\"startCapacity\":1,\"fall\":1000,\"fallMultiple\":3,\"askWithin\":6000,\"drainGrace\":"
+            + "\"rules\":{\"cold\":1000,\"startCapacity\":1,\"fall\":1000,\"fallMultiple\":3,\"askWithin\":"
+            + askWithinMillis
+            + ",\"drainGrace\":"
             + drainGraceMillis
             + "},"
             + (pollsDiscovery ? "\"membershipMode\":\"subscribe\"," : "")
--- a/src/test/java/leadferry/proxy/QueueingDiscovery.java
+++ b/src/test/java/leadferry/proxy/QueueingDiscovery.java
@@ -25,10 +25,14 @@
     /** Its connection is reset at once. */
     RESET,
     /** It is never answered, also after the mode has changed. */
-    HOLD
+    HOLD,
+    /** Its answer begins with a part of a list, which never ends. */
+    STALL
   }
 
+  private static final long CHANGE_POLL_NANOS = 20_000_000L;
   private static final long KEEP_ALIVE_NANOS = 1_500_000_000L;
+  private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
   /** Times ({@link System#nanoTime}) at which calls were read. */
   final List<Long> callNanos = new CopyOnWriteArrayList<>();
@@ -40,7 +44,7 @@
   private volatile long answerDelayNanos;
   private volatile long workNanos;
   private volatile String change;
-  private volatile boolean silent;
+  private volatile long silentFromNanos = Long.MAX_VALUE;
 
   /** Creates a server whose answers consist of {@code change}. */
   QueueingDiscovery(String change) throws IOException {
@@ -78,25 +82,36 @@
     answerDelayNanos = millis * 1_000_000;
   }
 
-  /** Sets what further answers consist of. Watches that are open are not told. */
+  /** Sets what further answers consist of, and what is sent on the watches that are not silent. */
   void setChange(String next) {
     change = next;
   }
 
   /** Stops all output on the watches that are open. */
   void silenceWatches() {
-    silent = true;
+    silentFromNanos = System.nanoTime();
   }
 
   /** Resets all connections. */
-  void resetConnections() throws IOException {
+  void resetConnections() {
     for (Socket socket : accepted) {
       accepted.remove(socket);
       reset(socket);
     }
   }
 
+  /** Returns the number of connections whose client has not closed them. */
+  int openConnections() {
+    return (int) accepted.stream().filter(socket -> !socket.isClosed()).count();
+  }
+
   private void serve(Socket socket) throws IOException {
+    try (socket) {
+      serveCalls(socket);
+    }
+  }
+
+  private void serveCalls(Socket socket) throws IOException {
     while (ProxyFixture.readMessage(socket.getInputStream()) != null) {
       callNanos.add(System.nanoTime());
       switch (mode) {
@@ -105,6 +120,7 @@
             write(socket, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
         case RESET -> reset(socket);
         case HOLD -> {}
+        case STALL -> write(socket, HEAD + chunk("{\n  \"version\": 99,\n"));
       }
     }
   }
@@ -117,20 +133,32 @@
       turn.unlock();
     }
     LockSupport.parkNanos(answerDelayNanos);
-    silent = false;
-    String body = change + "\n";
-    String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    write(socket, head + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n");
-    LockSupport.parkNanos(KEEP_ALIVE_NANOS);
-    while (!silent) {
-      write(socket, "1\r\n\n\r\n");
-      LockSupport.parkNanos(KEEP_ALIVE_NANOS);
+    long answeredNanos = System.nanoTime();
+    String told = change;
+    write(socket, HEAD + chunk(told + "\n"));
+    long lastWriteNanos = System.nanoTime();
+    while (answeredNanos > silentFromNanos || silentFromNanos == Long.MAX_VALUE) {
+      LockSupport.parkNanos(CHANGE_POLL_NANOS);
+      boolean changed = !change.equals(told);
+      if (changed || System.nanoTime() - lastWriteNanos > KEEP_ALIVE_NANOS) {
+        told = change;
+        write(socket, chunk(changed ? told + "\n" : "\n"));
+        lastWriteNanos = System.nanoTime();
+      }
     }
   }
 
-  private static void reset(Socket socket) throws IOException {
-    socket.setSoLinger(true, 0);
-    socket.close();
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  private static void reset(Socket socket) {
+    try {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    } catch (IOException e) {
+      // its client has closed it
+    }
   }
 
   private interface Task {
@@ -153,8 +181,12 @@
   }
 
   @Override
-  public void close() throws IOException {
-    listener.close();
+  public void close() {
+    try {
+      listener.close();
+    } catch (IOException e) {
+      // accepts no more calls in any case
+    }
     resetConnections();
   }
 }
