refactor: Give the timing of calls to discovery a class of its own

Change: DiscoveryCallTimer holds interval and retry; the list of the stand-in stands once. No change of behaviour.

--- a/src/main/java/leadferry/proxy/DiscoveryWatch.java
+++ b/src/main/java/leadferry/proxy/DiscoveryWatch.java
@@ -7,12 +7,10 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import leadferry.engine.Dispatcher;
 import leadferry.engine.Log;
@@ -40,12 +38,6 @@
  * <p>Confined to the event loop.
  */
 final class DiscoveryWatch {
-  /**
-   * Time (ms) after which an agent on the same machine, which responds at once, is called once
-   * more. Further calls come at the usual intervals.
-   */
-  private static final long AGENT_CALL_INTERVAL_MILLIS = 1_000;
-
   /**
    * Maximum time without a message on the watch. The checks add up to {@link
    * Proxy#HOUSEKEEPING_MILLIS} to it.
@@ -62,6 +54,7 @@
   private final DiscoveryCallTrace trace;
   private final Bootstrap bootstrap;
   private final ReconnectBackoff backoff;
+  private final DiscoveryCallTimer timer;
   private final UnansweredCalls unanswered = new UnansweredCalls();
 
   private boolean polled;
@@ -74,15 +67,6 @@
   /** Connection that was begun last; null before the first one. */
   private DiscoveryConnection latest;
 
-  /** Begins the next call after a failure; not used where the load balancer does. */
-  private Future<?> scheduledRetry;
-
-  /** Begins the next call one interval after {@link #intervalStartNanos}. */
-  private Future<?> scheduledCall;
-
-  /** Time (ns) at which the latest call began or the watch was lost, whichever was later. */
-  private long intervalStartNanos;
-
   /** Whether discovery itself has sent or confirmed a list since the start. */
   private boolean confirmed;
 
@@ -105,6 +89,7 @@
     this.trace = new DiscoveryCallTrace(log);
     this.address = config.discovery();
     this.polled = config.settings().shouldWatchDiscovery();
+    this.timer = new DiscoveryCallTimer(dispatcher.loop(), this::beginCall);
     this.backoff = new ReconnectBackoff(config.drainGraceMillis());
     this.bootstrap =
         new Bootstrap()
@@ -181,13 +166,16 @@
   }
 
   private void beginCall() {
-    cancelScheduledCalls();
-    intervalStartNanos = System.nanoTime();
-    scheduleCall(callIntervalMillis());
+    if (polled || !unanswered.isEmpty()) {
+      timer.startInterval();
+    } else {
+      timer.startAgentInterval();
+    }
     ChannelFuture connecting = bootstrap.connect(address);
     if (!connecting.channel().isRegistered()) {
       // Guards against a watch that waits forever: a channel that was never opened is never closed.
-      onLatestFailed("out of sockets");
+      timer.extendToLongestInterval();
+      scheduleRetry("out of sockets");
       return;
     }
     DiscoveryConnection opened =
@@ -226,39 +214,6 @@
     open.forEach(call -> close(call, reason));
   }
 
-  /** Returns the time from the begin of a call to that of the next one, unless it is answered. */
-  private long callIntervalMillis() {
-    if (!polled && unanswered.isEmpty()) {
-      return AGENT_CALL_INTERVAL_MILLIS;
-    }
-    return (long)
-        ThreadLocalRandom.current()
-            .nextDouble(
-                DiscoveryTiming.MIN_CALL_INTERVAL_MILLIS, DiscoveryTiming.MAX_CALL_INTERVAL_MILLIS);
-  }
-
-  private void scheduleCall(long delayMillis) {
-    cancel(scheduledCall);
-    scheduledCall = dispatcher.loop().schedule(this::beginCall, delayMillis, TimeUnit.MILLISECONDS);
-  }
-
-  /** Begins the next call after the maximum interval, unless a retry begins it before. */
-  private void scheduleCallAtLimit() {
-    long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - intervalStartNanos);
-    scheduleCall((long) DiscoveryTiming.MAX_CALL_INTERVAL_MILLIS - elapsedMillis);
-  }
-
-  private void cancelScheduledCalls() {
-    cancel(scheduledRetry);
-    cancel(scheduledCall);
-  }
-
-  private static void cancel(Future<?> scheduled) {
-    if (scheduled != null) {
-      scheduled.cancel(false);
-    }
-  }
-
   // --- events of connections
 
   private void onConnected(DiscoveryConnection opened) {
@@ -290,7 +245,7 @@
    */
   void onResponseHead(DiscoveryConnection call) {
     if (!polled && watch == null && call == latest) {
-      scheduleCall((long) DiscoveryTiming.MAX_CALL_INTERVAL_MILLIS);
+      timer.startLongestInterval();
     }
   }
 
@@ -337,7 +292,7 @@
       return;
     }
     trace.answered(call.number(), version);
-    cancelScheduledCalls();
+    timer.stop();
     closeAllExcept(call, "another call was answered");
     watch = call;
     confirmed = true;
@@ -376,24 +331,21 @@
     watch = wasWatch ? null : watch;
     close(failed, reason);
     if (wasWatch) {
-      intervalStartNanos = System.nanoTime();
-    }
-    if (wasWatch || failed == latest) {
-      onLatestFailed(reason);
+      timer.startLongestInterval();
+      scheduleRetry(reason);
+    } else if (failed == latest) {
+      timer.extendToLongestInterval();
+      scheduleRetry(reason);
     }
   }
 
-  /** Schedules the next call, or leaves that to the load balancer. */
-  private void onLatestFailed(String reason) {
+  /** Schedules the next call after a failure, or leaves that to the load balancer. */
+  private void scheduleRetry(String reason) {
     logFailure(reason);
-    scheduleCallAtLimit();
     if (polled) {
       dispatcher.onWatchFailed();
     } else {
-      scheduledRetry =
-          dispatcher
-              .loop()
-              .schedule(this::beginCall, backoff.nextDelayMillis(), TimeUnit.MILLISECONDS);
+      timer.retryAfter(backoff.nextDelayMillis());
     }
   }
 
--- a/src/test/java/leadferry/proxy/DiscoveryDeadlineTest.java
+++ b/src/test/java/leadferry/proxy/DiscoveryDeadlineTest.java
@@ -1,5 +1,6 @@
 package leadferry.proxy;
 
+import static leadferry.proxy.QueueingDiscovery.list;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.file.Files;
@@ -130,15 +131,6 @@
     }
   }
 
-  private static String list(long version, String id) {
-    return "{\"version\":"
-        + version
-        + ",\"full\":true,\"servers\":[{\"id\":\""
-        + id
-        + "\",\"addr\":\"127.0.0.1:1\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":1,\"state\":\"up\","
-        + "\"weight\":1.0,\"started_ms\":0}]}";
-  }
-
   private static double millisSince(long startNanos) {
     return (System.nanoTime() - startNanos) / 1e6;
   }
--- a/src/test/java/leadferry/proxy/DiscoveryOutageLoad.java
+++ b/src/test/java/leadferry/proxy/DiscoveryOutageLoad.java
@@ -1,5 +1,7 @@
 package leadferry.proxy;
 
+import static leadferry.proxy.QueueingDiscovery.list;
+
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -107,13 +109,4 @@
   private static long millisSince(long startNanos) {
     return (System.nanoTime() - startNanos) / 1_000_000;
   }
-
-  private static String list(long version, String id) {
-    return "{\"version\":"
-        + version
-        + ",\"full\":true,\"servers\":[{\"id\":\""
-        + id
-        + "\",\"addr\":\"127.0.0.1:1\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":1,\"state\":\"up\","
-        + "\"weight\":1.0,\"started_ms\":0}]}";
-  }
 }
--- a/src/test/java/leadferry/proxy/QueueingDiscovery.java
+++ b/src/test/java/leadferry/proxy/QueueingDiscovery.java
@@ -60,12 +60,18 @@
         });
   }
 
-  int port() {
-    return listener.getLocalPort();
+  /** Returns a full list of one host, in the form of the protocol. */
+  static String list(long version, String id) {
+    return "{\"version\":"
+        + version
+        + ",\"full\":true,\"servers\":[{\"id\":\""
+        + id
+        + "\",\"addr\":\"127.0.0.1:1\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":1,\"state\":\"up\","
+        + "\"weight\":1.0,\"started_ms\":0}]}";
   }
 
   String address() {
-    return "127.0.0.1:" + port();
+    return "127.0.0.1:" + listener.getLocalPort();
   }
 
   void setMode(Mode next) {
