Show that a reload takes membershipMode, and that changes ahead of the list are a failure

Shown on: a reload from asked to pushed lists never opened the watch again (0 calls in 6 s; the load balancer no longer waited, the watch still left it to it), and changes ahead of the list counted as an answer (the repeated failure is logged 3 times in place of once). Both tests fail there and pass now. The fixture names membershipMode in either mode: a key that goes missing makes a reload faulty.

--- a/src/test/java/leadferry/proxy/DiscoveryDeadlineTest.java
+++ b/src/test/java/leadferry/proxy/DiscoveryDeadlineTest.java
@@ -289,6 +289,36 @@
         });
   }
 
+  /**
+   * Guards against the intervals of pushed lists at a discovery that bears all proxies, and against
+   * those of polled lists at an agent: a reload may change the mode.
+   */
+  @Test
+  void reloadChangesTheModeOfTheCalls() throws Exception {
+    runBoth(
+        List.of(Mode.REJECT),
+        (scenario, mode) -> {
+          ProxyFixture fixture = scenario.fixture;
+          boolean polledAfter = !fixture.pollsDiscovery;
+          scenario.discovery.setMode(mode);
+          fixture.startProxy(
+              fixture.writeConfig(scenario.discovery.address(), list(40, "known")),
+              ProxyFixture.discardingLog());
+          fixture.pollsDiscovery = polledAfter;
+          fixture.writeConfig(scenario.discovery.address(), list(40, "known"));
+          fixture.reload();
+          sleepMillis(8_000);
+          int before = scenario.discovery.callNanos.size();
+          sleepMillis(6_000);
+          int calls = scenario.discovery.callNanos.size() - before;
+          if (polledAfter) {
+            assertThat(calls).isBetween(2, 3);
+          } else {
+            assertThat(calls).isGreaterThan(12); // 2 a second: each grace of 500 ms
+          }
+        });
+  }
+
   /**
    * Guards against two timers that each begin calls: once the backoff has grown, there is one call
    * per interval, whatever becomes of it.
--- a/src/test/java/leadferry/proxy/DiscoveryTest.java
+++ b/src/test/java/leadferry/proxy/DiscoveryTest.java
@@ -619,4 +619,18 @@
     assertThat(log.toString(StandardCharsets.UTF_8).lines().filter(l -> l.contains("watch:")))
         .hasSize(1);
   }
+
+  /** Guards against changes without the list that they belong to, which would pass as an answer. */
+  @Test
+  void changesAheadOfTheListAreAFailure() throws Exception {
+    ProxyFixture.UpstreamHost host = fixture.new UpstreamHost(h -> ok("done"));
+    FailingDiscovery discovery =
+        new FailingDiscovery(
+            chunk(drainingDelta(50, "old", host.address()) + "\n"),
+            list(51, entry("old", host.address())));
+    start(discovery, "{}"); // no version to resume from
+    ProxyFixture.await(() -> discovery.requestNanos.size() > BAD_RESPONSES);
+    assertThat(log.toString(StandardCharsets.UTF_8).lines().filter(l -> l.contains("watch:")))
+        .hasSize(1);
+  }
 }
--- a/src/test/java/leadferry/proxy/ProxyFixture.java
+++ b/src/test/java/leadferry/proxy/ProxyFixture.java
@@ -359,7 +359,9 @@
             + ",\"drainGrace\":"
             + drainGraceMillis
             + "},"
-            + (pollsDiscovery ? "\"membershipMode\":\"subscribe\"," : "")
+            + "\"membershipMode\":\""
+            + (pollsDiscovery ? "subscribe" : "automatic")
+            + "\","
             + ""
             + "\"report\":{\"how\":\"answers\"},\"balancers\":1}}");
   }
